Replica: a disk that was full is used again without a restart

Ruled out: a lost message (the other four VMs had the change within 2 ms) and the order of applying (numbers are right). Test: TestDiskThatWasFullIsUsedAgainWithoutARestart; without the mechanism the node stays out.

--- a/pkg/replica/node.go
+++ b/pkg/replica/node.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -115,7 +114,10 @@
 	staging   bool
 	callers   []*stepCall
 	storeErr  error
-	told      leadership
+	// reopenedAt is when the disk was last tried after it failed; initial is the state machine's state at the start.
+	reopenedAt time.Time
+	initial    []byte
+	told       leadership
 
 	mu       sync.Mutex
 	status   Status
@@ -156,6 +158,9 @@
 
 func (n *Node) restore(s wal.State) error {
 	var err error
+	if n.initial, err = n.opts.StateMachine.Snapshot(); err != nil {
+		return fmt.Errorf("replica: snapshot of the first state: %w", err)
+	}
 	if n.instance, err = n.wal.Identity(n.opts.VM, uuid.NewString()); err != nil {
 		return fmt.Errorf("%w: %w", ErrStorage, err)
 	}
@@ -164,26 +169,12 @@
 	}
 	n.id = raft.PeerID(&daisyhatchv1.ConsensusPeer{Vm: n.opts.VM, Instance: n.instance})
 	n.net = newTransport(n.opts, n.log, n.takeAnswer)
-	r := raft.Restored{HardState: s.HardState, Entries: s.Entries}
-	if s.Snapshot != nil {
-		r.Snapshot = s.Snapshot.Meta
-		n.snapMeta = s.Snapshot.Meta
-	}
-	if r.Snapshot.GetIndex() > 0 {
+	if s.Snapshot != nil && s.Snapshot.Meta.GetIndex() > 0 {
 		if err := n.opts.StateMachine.Restore(s.Snapshot.Data); err != nil {
-			return fmt.Errorf("replica: restore snapshot at %d: %w", r.Snapshot.GetIndex(), err)
+			return fmt.Errorf("replica: restore snapshot at %d: %w", s.Snapshot.Meta.GetIndex(), err)
 		}
 	}
-	for _, e := range s.Entries {
-		n.logBytes += uint64(len(e.GetData()))
-	}
-	n.core = raft.New(raft.Config{
-		ID:                n.id,
-		ElectionTimeout:   n.opts.ElectionTimeout,
-		HeartbeatInterval: n.opts.HeartbeatInterval,
-		Rand:              rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Invariants:        n.opts.Invariants,
-	}, r, time.Now())
+	n.loadCore(s, time.Now())
 	n.hasState = s.Snapshot != nil || len(s.Entries) > 0 || s.HardState.GetTerm() > 0
 	n.publish()
 	return nil
--- a/pkg/replica/node_loop.go
+++ b/pkg/replica/node_loop.go
@@ -75,7 +75,9 @@
 		case s := <-n.staged:
 			n.adoptSnapshot(s)
 		case <-tick.C:
-			n.core.Tick(time.Now())
+			now := time.Now()
+			n.core.Tick(now)
+			n.maybeReopen(now)
 		}
 		n.drain()
 		n.process()
@@ -154,7 +156,7 @@
 // fail takes the node out of the group after its disk refused a write.
 func (n *Node) fail(err error) {
 	storageFailures.Inc()
-	n.log.Error(err, "storage failed; this node no longer takes part until it is restarted")
+	n.log.Error(err, "storage failed; this node takes no part until its disk can be used again")
 	n.storeErr = fmt.Errorf("%w: %w", ErrStorage, err)
 	n.core.Fail()
 	n.answerReads()
--- a/pkg/replica/node_mem_test.go
+++ b/pkg/replica/node_mem_test.go
@@ -454,3 +454,21 @@
 		require.True(t, proto.Equal(want, survivor.node.Status().Membership.GetPeers()[0]))
 	})
 }
+
+func TestDiskThatWasFullIsUsedAgainWithoutARestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newMemGroup(t, 3, Options{})
+		g.leader()
+		m := g.members[0]
+		g.propose(m, 10)
+		require.NoError(t, m.node.call(t.Context(), func() error { m.fs.Room = 3; return nil }))
+		g.propose(g.members[1], 5)
+		time.Sleep(2 * time.Second)
+		require.True(t, m.node.Status().StorageFailed)
+		require.NoError(t, m.node.call(t.Context(), func() error { m.fs.Room = -1; return nil }))
+		time.Sleep(2 * time.Second)
+		require.False(t, m.node.Status().StorageFailed)
+		require.NoError(t, m.node.ReadBarrier(t.Context()))
+		require.Len(t, m.sm.commands(), 15)
+	})
+}
--- a/pkg/wal/wal.go
+++ b/pkg/wal/wal.go
@@ -323,3 +323,6 @@
 	errs = append(errs, w.lock.Close())
 	return errors.Join(errs...)
 }
+
+// Probe writes and syncs a record that changes nothing, to learn whether the disk takes writes. Errors: ErrWrite.
+func (w *WAL) Probe() error { return w.Save(Batch{HardState: w.hard}) }
