Stage calls: unwanted results are given up, room is learned, a late backlog goes behind, calls are made locally without control VMs

Ruled out: too few servers (calls held 5.3 of 8 pieces, so the pools were not full). Change: results without a caller are given up at once, results a request needed at its first event; a server without room is left alone for 400 ms and its pieces wait; the forecast counts only what goes before; entry VMs make the calls themselves while no control VM is heard; jobs with large results wait 150 ms for a server where they are wanted.

--- a/pkg/daemon/fleet.go
+++ b/pkg/daemon/fleet.go
@@ -122,9 +122,7 @@
 		}
 		return nil
 	})
-	stages := stagecall.NewRunner(stagecall.Options{
-		View: stageView{f.state}, Dialect: f.dialect, Pool: f.pool, Log: k.Log().WithName("stages"),
-	})
+	stages := f.stageRunner(k)
 	f.control = fleet.NewControl(fleet.ControlOptions{
 		VM: f.consensusName(), Address: f.peerAddress(), Incarnation: f.incarnation, LossesBorne: f.settings.Fleet.LossesBorne,
 		Node: f.node, Machine: machine, State: f.state, Roster: f.roster, Parse: f.dialect.Catalog, HTTP: p.client,
@@ -139,6 +137,12 @@
 	return nil
 }
 
+func (f *fleetShared) stageRunner(k *kernel.Kernel) *stagecall.Runner {
+	return stagecall.NewRunner(stagecall.Options{
+		View: stageView{f.state}, Dialect: f.dialect, Pool: f.pool, Log: k.Log().WithName("stages"),
+	})
+}
+
 // founders are the first voters on a VM that is one of them at the first start of the whole system.
 func (f *fleetControl) founders() []*daisyhatchv1.ConsensusPeer {
 	if !f.settings.Fleet.FirstStart {
@@ -318,7 +322,7 @@
 	s := f.settings.Fleet
 	f.relay = relay.New(relay.Options{
 		VM: f.settings.VM.Name, FailureDomain: f.settings.VM.FailureDomain, Dialect: f.dialect, Knowledge: f.state,
-		Stages: stageclient.New(w.follower, w.client, k.Log().WithName("stages")), Pool: f.pool,
+		Stages: stageclient.New(w.follower, w.client, f.stageRunner(k), k.Log().WithName("stages")), Pool: f.pool,
 		Repeats:     allowance.NewRepeats(s.RetryRatio, s.RetryExtra, s.RetryWindow),
 		ColdOverrun: s.ColdOverrun, ColdExtra: s.ColdExtra, Log: k.Log().WithName("relay"),
 	})
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -33,9 +33,7 @@
 			if firstHere {
 				firstHere = false
 				x.answered(c, time.Since(res.begun))
-				if !x.route.Resumable {
-					x.freeInputs()
-				}
+				x.freeInputs()
 			}
 			if werr := x.forward(res, event, events.Buffered() == 0, flusher); werr != nil {
 				res.close()
--- a/pkg/stagecall/runner.go
+++ b/pkg/stagecall/runner.go
@@ -136,7 +136,7 @@
 	select {
 	case <-w.done:
 	case <-ctx.Done():
-		p.drop(w)
+		r.Free(p.drop(w))
 		return nil, ctx.Err()
 	}
 	res := &daisyhatchv1.StageRunResponse{}
@@ -164,7 +164,7 @@
 // add queues a job unless it can't be done in time; the wait is returned then.
 func (p *pool) add(w *waiter, now time.Time) (time.Duration, bool) {
 	p.mu.Lock()
-	wait := p.sched.Forecast(p.runner.opts.View.Serving(p.service, now), now)
+	wait := p.sched.Forecast(w.job, p.runner.opts.View.Serving(p.service, now), now)
 	if now.Add(wait).Add(p.sched.batch.CallTime(len(w.job.Pieces))).After(w.job.Deadline) {
 		p.mu.Unlock()
 		return wait, false
@@ -177,11 +177,19 @@
 	return 0, true
 }
 
-func (p *pool) drop(w *waiter) {
+// drop takes a job back whose caller has gone, and returns the results that it has.
+func (p *pool) drop(w *waiter) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sched.Drop(w.job)
 	w.finish()
+	var handles []string
+	for _, r := range w.results {
+		if r.Handle != "" {
+			handles = append(handles, r.Handle)
+		}
+	}
+	return handles
 }
 
 // finish ends the wait; the pool's lock is held.
@@ -244,6 +252,7 @@
 		o.Failed, o.Shed = false, true
 	}
 	n := 0
+	var unwanted []string
 	for _, part := range c.Parts {
 		var handles []string
 		for _, piece := range part.Pieces {
@@ -252,6 +261,10 @@
 				r = results[n]
 			}
 			n++
+			o.NoRoom = o.NoRoom || r.Reason == dialect.ReasonRoom
+			if r.Handle != "" && part.Job.owner.closed {
+				unwanted = append(unwanted, r.Handle)
+			}
 			handles = append(handles, r.Handle)
 			p.take(part.Job, piece, r, c.Server, o.Shed, now)
 		}
@@ -259,7 +272,8 @@
 	}
 	p.sched.Done(c, o, now)
 	p.mu.Unlock()
-	p.log(c, err, now)
+	p.runner.Free(unwanted)
+	p.log(c, &o, err, now)
 	p.dispatch()
 }
 
@@ -270,10 +284,12 @@
 		w.settle(piece, r, v.Domain)
 		return
 	}
-	piece.Tries++
+	if r.Reason != dialect.ReasonRoom {
+		piece.Tries++
+	}
 	again := r.Reason == dialect.ReasonError || r.Reason == dialect.ReasonRoom
 	inTime := j.Deadline.Sub(now) > p.sched.batch.CallTime(1)
-	if again && inTime && !w.closed && piece.Tries < maxTries && p.budget.Allow(now) {
+	if again && inTime && !w.closed && piece.Tries < maxTries && (shed || r.Reason == dialect.ReasonRoom || p.budget.Allow(now)) {
 		if len(j.Pieces) == 0 {
 			p.sched.Add(j)
 		}
@@ -283,17 +299,21 @@
 	w.settle(piece, r, "")
 }
 
-func (p *pool) log(c *Call, err error, now time.Time) {
-	if err == nil {
-		return
-	}
+// log tells of a call: which pieces went where, how long they had waited, and what came of it.
+func (p *pool) log(c *Call, o *Outcome, err error, now time.Time) {
 	var requests []string
+	waited := time.Duration(0)
 	for _, part := range c.Parts {
 		requests = append(requests, part.Job.Request)
+		waited = max(waited, c.Begun.Sub(part.Job.Arrived))
+	}
+	reason := ""
+	if err != nil {
+		reason = err.Error()
 	}
-	p.runner.opts.Log.Info("stage call failed", "service", p.service, "server", c.Server.ID, "pieces", c.Count(),
-		"after_ms", now.Sub(c.Begun).Milliseconds(), "expected_ms", c.Expected.Milliseconds(), "requests", requests,
-		"reason", err.Error())
+	p.runner.opts.Log.Info("stage call", "service", p.service, "server", c.Server.ID, "pieces", c.Count(),
+		"failed", o.Failed, "shed", o.Shed, "waited_ms", waited.Milliseconds(), "took_ms", now.Sub(c.Begun).Milliseconds(),
+		"expected_ms", c.Expected.Milliseconds(), "requests", requests, "reason", reason)
 }
 
 // errShed means that the server refused the call without running it.
--- a/pkg/stagecall/scheduler.go
+++ b/pkg/stagecall/scheduler.go
@@ -23,7 +23,7 @@
 	Priority         int
 	// ResultBytes is about the size of one piece's result.
 	ResultBytes int64
-	// Domain is the caller's failure domain.
+	// Domain is the failure domain where the results are wanted; empty when it doesn't matter.
 	Domain string
 	// Arrived orders jobs with the same target.
 	Arrived time.Time
@@ -79,6 +79,12 @@
 	// avoidFirst and avoidMost are how long a server that failed a call is avoided: doubled with each failure in a row.
 	avoidFirst = 500 * time.Millisecond
 	avoidMost  = 4 * time.Second
+	// roomlessFor is how long a server that has no room is left alone: about the time after which results are given up.
+	roomlessFor = 400 * time.Millisecond
+	// largeResult is the size from which it matters where a result is made: results that cross failure domains are priced.
+	largeResult = 50_000
+	// remoteWait is how long a job with large results waits for a server where they are wanted.
+	remoteWait = 150 * time.Millisecond
 	// roomMargin is the share of a server's room that is used; sizes are approximate.
 	roomMargin = 0.9
 )
@@ -92,6 +98,8 @@
 	avoided  time.Time
 	held     int64
 	results  map[string]result
+	// roomless is until when the server is taken to have no room, after it said so.
+	roomless time.Time
 }
 
 type result struct {
@@ -150,92 +158,103 @@
 		return Call{}, false
 	}
 	s.order(now)
-	i := s.choose(servers, now)
-	if i < 0 {
-		return Call{}, false
-	}
-	c := s.fill(servers[i], now)
-	if len(c.Parts) == 0 {
-		return Call{}, false
+	for _, v := range s.free(servers, now) {
+		c := s.fill(v, now)
+		if len(c.Parts) == 0 {
+			continue
+		}
+		s.state(v.ID).busy++
+		c.Begun = now
+		c.Expected = s.batch.CallTime(c.Count())
+		return c, true
 	}
-	st := s.state(servers[i].ID)
-	st.busy++
-	c.Begun = now
-	c.Expected = s.batch.CallTime(c.Count())
-	return c, true
+	return Call{}, false
 }
 
-// order sorts the jobs: those that can still meet their target by it, then the late ones by deadline.
+// order sorts the jobs by less.
 func (s *Scheduler) order(now time.Time) {
-	onTime := func(j *Job) bool { return j.Target.Sub(now) >= s.batch.CallTime(min(len(j.Pieces), s.batch.Size)) }
-	slices.SortStableFunc(s.jobs, func(a, b *Job) int {
-		x, y := onTime(a), onTime(b)
-		switch {
-		case x != y && x:
-			return -1
-		case x != y:
-			return 1
-		case x:
-			return cmp.Or(a.Target.Compare(b.Target), cmp.Compare(a.Priority, b.Priority), a.Arrived.Compare(b.Arrived))
-		}
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.Deadline.Compare(b.Deadline), a.Arrived.Compare(b.Arrived))
-	})
+	slices.SortStableFunc(s.jobs, func(a, b *Job) int { return s.compare(a, b, now) })
+}
+
+// onTime reports whether a job that is begun now in a full call meets its target.
+func (s *Scheduler) onTime(j *Job, now time.Time) bool {
+	return j.Target.Sub(now) >= s.batch.CallTime(s.batch.Size)
 }
 
-// choose returns the free server that is expected to be done first; -1 when there is none worth using.
-func (s *Scheduler) choose(servers []Server, now time.Time) int {
-	best, bestCost := -1, 0.0
+// compare orders two jobs: those that can still meet their target by it, then the late ones by priority and deadline. So
+// a backlog that is late already doesn't make what comes after it late as well.
+func (s *Scheduler) compare(a, b *Job, now time.Time) int {
+	x, y := s.onTime(a, now), s.onTime(b, now)
+	switch {
+	case x != y && x:
+		return -1
+	case x != y:
+		return 1
+	case x:
+		return cmp.Or(a.Target.Compare(b.Target), cmp.Compare(a.Priority, b.Priority), a.Arrived.Compare(b.Arrived))
+	}
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.Deadline.Compare(b.Deadline), a.Arrived.Compare(b.Arrived))
+}
+
+// free returns the servers that may get a call now, the best one first. Slow ones are left out while the others are
+// enough for what waits.
+func (s *Scheduler) free(servers []Server, now time.Time) []Server {
+	type ranked struct {
+		v    Server
+		cost float64
+	}
+	var list []ranked
 	good := 0
 	for _, v := range servers {
 		if st := s.state(v.ID); st.usable(now) && st.speed() < slowRatio {
 			good++
 		}
 	}
-	for i, v := range servers {
+	waiting := s.Waiting()
+	for _, v := range servers {
 		st := s.state(v.ID)
 		if st.busy >= s.batch.Slots || !st.usable(now) {
 			continue
 		}
-		if st.speed() >= slowRatio && good > 0 && s.Waiting() <= good*s.batch.Size {
+		if st.speed() >= slowRatio && good > 0 && waiting <= good*s.batch.Size {
 			continue
 		}
 		cost := st.speed()
-		if len(s.jobs) > 0 && s.jobs[0].Domain != v.Domain {
+		if s.jobs[0].Domain != v.Domain {
 			cost += remoteCost
 		}
 		cost += float64(st.held) / float64(max(s.batch.ResultBytes, 1)) * roomCost
-		if best < 0 || cost < bestCost {
-			best, bestCost = i, cost
-		}
+		list = append(list, ranked{v, cost})
+	}
+	slices.SortStableFunc(list, func(a, b ranked) int { return cmp.Compare(a.cost, b.cost) })
+	out := make([]Server, 0, len(list))
+	for _, r := range list {
+		out = append(out, r.v)
 	}
-	return best
+	return out
 }
 
 // Costs that break ties between servers of about one speed, in shares of a usual call.
 const (
-	// remoteCost is for a server in another failure domain than the most urgent job's caller: results that cross
-	// failure domains are priced.
+	// remoteCost is for a server in another failure domain than the most urgent job wants.
 	remoteCost = 0.15
 	// roomCost is for a server whose room is taken.
 	roomCost = 0.3
 )
 
-// fill takes pieces out of the queue in order while they fit.
+// fill takes pieces out of the queue in order while they fit. Jobs with large results that are wanted elsewhere wait a
+// moment for a server there, unless they have no time to spare.
 func (s *Scheduler) fill(v Server, now time.Time) Call {
 	c := Call{Server: v}
 	st := s.state(v.ID)
 	st.forget(now)
-	room := int64(float64(s.batch.ResultBytes)*roomMargin) - st.held
 	left := s.batch.Size
+	room := int64(float64(s.batch.ResultBytes)*roomMargin) - st.held
 	kept := s.jobs[:0]
 	for _, j := range s.jobs {
-		n := min(len(j.Pieces), left)
-		if j.ResultBytes > 0 {
-			n = min(n, int(max(room, 0)/j.ResultBytes))
-		}
-		// A job is split only when it is larger than a call.
-		if n < len(j.Pieces) && len(j.Pieces) <= s.batch.Size {
-			n = 0
+		n := 0
+		if s.mayRun(j, v, st, now) {
+			n = s.fits(j, left, room)
 		}
 		if n > 0 {
 			c.Parts = append(c.Parts, CallPart{Job: j, Pieces: j.Pieces[:n:n]})
@@ -253,6 +272,30 @@
 	return c
 }
 
+// mayRun reports whether a job may go to a server now.
+func (s *Scheduler) mayRun(j *Job, v Server, st *serverState, now time.Time) bool {
+	if j.ResultBytes < largeResult {
+		return true
+	}
+	if now.Before(st.roomless) {
+		return false
+	}
+	spare := s.onTime(j, now.Add(remoteWait)) && now.Sub(j.Arrived) < remoteWait
+	return j.Domain == "" || j.Domain == v.Domain || !spare
+}
+
+// fits returns how many pieces of a job fit into a call. A job is split only when it is larger than a call.
+func (s *Scheduler) fits(j *Job, left int, room int64) int {
+	n := min(len(j.Pieces), left)
+	if j.ResultBytes > 0 {
+		n = min(n, int(max(room, 0)/j.ResultBytes))
+	}
+	if n < len(j.Pieces) && len(j.Pieces) <= s.batch.Size {
+		return 0
+	}
+	return n
+}
+
 // Outcome is how a call ended.
 type Outcome struct {
 	// Handles are the results made, by the part's and the piece's place; empty for those that failed.
@@ -261,6 +304,8 @@
 	Failed bool
 	// Shed is true when the server refused the call without running it.
 	Shed bool
+	// NoRoom is true when the server had no room for a result.
+	NoRoom bool
 }
 
 // Done takes the end of a call over. Room is released for pieces that made no result.
@@ -287,6 +332,9 @@
 		return
 	}
 	st.failures = 0
+	if o.NoRoom {
+		st.roomless = now.Add(roomlessFor)
+	}
 	ratio := float64(now.Sub(c.Begun)) / float64(max(c.Expected, time.Millisecond))
 	if st.ratio == 0 {
 		st.ratio = 1
@@ -315,8 +363,9 @@
 	}
 }
 
-// Forecast returns how long a piece that is queued now waits for a server, from the pieces before it and the servers' speed.
-func (s *Scheduler) Forecast(servers []Server, now time.Time) time.Duration {
+// Forecast returns how long the pieces of a job that is queued now wait for a server, from the pieces that go before them
+// and the servers' speed.
+func (s *Scheduler) Forecast(j *Job, servers []Server, now time.Time) time.Duration {
 	rate, free := 0.0, false
 	full := s.batch.CallTime(s.batch.Size).Seconds()
 	for _, v := range servers {
@@ -331,7 +380,13 @@
 		// No server can be used now: one that is avoided is tried again after avoidMost at the latest.
 		return avoidMost
 	}
-	wait := float64(s.Waiting()) / rate
+	before := 0
+	for _, k := range s.jobs {
+		if s.compare(k, j, now) <= 0 {
+			before += len(k.Pieces)
+		}
+	}
+	wait := float64(before) / rate
 	if !free {
 		// On average a running call is half done.
 		wait += full / 2 / float64(max(len(servers), 1))
--- a/pkg/stageclient/stageclient.go
+++ b/pkg/stageclient/stageclient.go
@@ -27,6 +27,7 @@
 type Client struct {
 	follower *fleet.Follower
 	http     *http.Client
+	local    *stagecall.Runner
 	log      logr.Logger
 
 	mu    sync.Mutex
@@ -41,15 +42,14 @@
 	freeBatch = 20 * time.Millisecond
 	// freeTimeout bounds the message; servers release what stays after a time.
 	freeTimeout = time.Second
-	// noOwnerRetry is when a caller may come back while no control VM is heard: a restart takes about a second.
-	noOwnerRetry = time.Second
 	// ownerTries is how many control VMs are asked for one stage.
 	ownerTries = 3
 )
 
-// New returns a Client.
-func New(f *fleet.Follower, h *http.Client, log logr.Logger) *Client {
-	return &Client{follower: f, http: h, log: log, free: make(map[string][]string), owners: make(map[string]string)}
+// New returns a Client. local makes the calls of this VM's requests alone while no control VM is heard: in smaller calls,
+// but the requests are served.
+func New(f *fleet.Follower, h *http.Client, local *stagecall.Runner, log logr.Logger) *Client {
+	return &Client{follower: f, http: h, local: local, log: log, free: make(map[string][]string), owners: make(map[string]string)}
 }
 
 // errOwnerLost ends a call to a control VM that is not heard any more.
@@ -57,22 +57,36 @@
 
 // Run implements relay.Stages.
 func (c *Client) Run(ctx context.Context, q relay.StageRequest) ([]relay.StageResult, error) {
-	owners := rankOwners(q.Service, c.follower.Live())
-	if len(owners) == 0 {
-		return nil, &relay.StageRefused{RetryAfter: noOwnerRetry, Reason: "no control VM is heard"}
-	}
-	var err error
-	for _, o := range owners[:min(len(owners), ownerTries)] {
-		var results []relay.StageResult
-		results, err = c.runAt(ctx, o, q)
+	tried := make(map[string]bool)
+	for range ownerTries {
+		owner, ok := firstOwner(q.Service, c.follower.Live(), tried)
+		if !ok {
+			break
+		}
+		tried[owner.Address] = true
+		results, err := c.runAt(ctx, owner, q)
 		var refused *relay.StageRefused
 		if err == nil || errors.As(err, &refused) || ctx.Err() != nil {
 			return results, err
 		}
-		c.log.Info("stage goes to another control VM", "request", q.Request, "service", q.Service, "from", o.Address,
+		c.log.Info("stage goes to another VM", "request", q.Request, "service", q.Service, "from", owner.Address,
 			"reason", err.Error())
 	}
-	return nil, err
+	res, err := c.local.Run(ctx, request(q))
+	if err != nil {
+		return nil, fmt.Errorf("stageclient: %w", err)
+	}
+	return c.results(res, "")
+}
+
+// firstOwner returns the first control VM of a service's order that was not tried.
+func firstOwner(service string, live []fleet.Source, tried map[string]bool) (fleet.Source, bool) {
+	for _, o := range rankOwners(service, live) {
+		if !tried[o.Address] {
+			return o, true
+		}
+	}
+	return fleet.Source{}, false
 }
 
 // rankOwners orders control VMs for a service by hash.
@@ -94,6 +108,16 @@
 		case <-ctx.Done():
 		}
 	}()
+	client := daisyhatchv1connect.NewFleetServiceClient(c.http, "http://"+o.Address)
+	res, err := client.StageRun(ctx, connect.NewRequest(request(q)))
+	if err != nil {
+		return nil, fmt.Errorf("stageclient: stage call: %w", errors.Join(context.Cause(ctx), err))
+	}
+	return c.results(res.Msg, o.Address)
+}
+
+// request describes a stage by the time left, since VMs don't share a clock.
+func request(q relay.StageRequest) *daisyhatchv1.StageRunRequest {
 	now := time.Now()
 	req := &daisyhatchv1.StageRunRequest{
 		Request: q.Request, Service: q.Service, Stage: uint32(q.Stage), Key: q.Key, RemainingMs: q.Deadline.Sub(now).Milliseconds(),
@@ -103,12 +127,7 @@
 	for i := range q.Count {
 		req.Pieces = append(req.Pieces, &daisyhatchv1.StagePiece{Index: uint32(i), Inputs: q.Inputs})
 	}
-	client := daisyhatchv1connect.NewFleetServiceClient(c.http, "http://"+o.Address)
-	res, err := client.StageRun(ctx, connect.NewRequest(req))
-	if err != nil {
-		return nil, fmt.Errorf("stageclient: stage call: %w", errors.Join(context.Cause(ctx), err))
-	}
-	return c.results(res.Msg, o.Address)
+	return req
 }
 
 func (c *Client) results(m *daisyhatchv1.StageRunResponse, owner string) ([]relay.StageResult, error) {
@@ -139,9 +158,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, h := range handles {
-		owner := c.owners[stagecall.AddressOf(h)]
-		if owner != "" {
+		owner, known := c.owners[stagecall.AddressOf(h)]
+		switch {
+		case known && owner != "":
 			c.free[owner] = append(c.free[owner], h)
+		case known:
+			c.local.Free([]string{h})
 		}
 	}
 	if c.timer == nil && len(c.free) > 0 {
