Stages: a job's deadline knows when its inputs expire; lost results are made anew once

Change: a stage's deadline ends before its inputs expire; inputs are given up once read; the stages run once more when results were lost and there is time.

--- a/pkg/relay/decide.go
+++ b/pkg/relay/decide.go
@@ -36,6 +36,8 @@
 	stepRefuse
 	// stepFail answers that the request may have run.
 	stepFail
+	// stepRestage runs the stages anew and sends the request again.
+	stepRestage
 	// stepCut ends the connection, since part of the answer has been delivered.
 	stepCut
 )
@@ -51,6 +53,8 @@
 	// delivered is true when part of the answer has gone to the caller.
 	delivered bool
 	left      time.Duration
+	// restage is true when there is time to run the stages anew.
+	restage bool
 	// others is how many servers there are that have not been tried.
 	others int
 	// allowed asks the budget of repeats; it takes one.
@@ -81,7 +85,9 @@
 			return stepRepeat
 		}
 	case endedGone:
-		// Nothing is sent again: the stages would have to run anew.
+		if s.restage && !s.delivered {
+			return stepRestage
+		}
 	case endedUnknown, endedFailed:
 		if mayRepeat && s.route.Repeatable() && s.runs < s.route.MaxServers && s.allowed() {
 			return stepRepeat
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -150,9 +150,13 @@
 	call         dialect.Call
 	body         []byte
 
-	inputs  []string
+	inputs []string
+	// expires is when the results of each stage are gone.
+	expires []time.Time
 	inputMB map[string]float64
-	sent    *placement.Sent
+	// chains is how often the stages were run.
+	chains int
+	sent   *placement.Sent
 	// tried are the servers that were sent the request, in order.
 	tried []string
 	ran   int
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -45,6 +45,14 @@
 		case stepRepeat:
 			res.close()
 			continue
+		case stepRestage:
+			res.close()
+			if !x.runStages() {
+				return
+			}
+			// The server whose inputs were gone is as good as before.
+			x.tried = nil
+			continue
 		case stepRefuse:
 			res.close()
 			x.refuse(http.StatusServiceUnavailable, noServerRetry, res.reason())
@@ -103,7 +111,7 @@
 	}
 	return situation{
 		ending: res.ending, route: x.route, runs: x.ran, sends: sends, delivered: x.started,
-		left: x.deadline.Sub(now), others: others,
+		left: x.deadline.Sub(now), others: others, restage: x.mayRunChain(),
 		allowed: func() bool {
 			return x.relay.opts.Repeats.Allow(x.service.Name, len(x.relay.opts.Knowledge.EntryNames(now)), now)
 		},
--- a/pkg/relay/stages.go
+++ b/pkg/relay/stages.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -28,7 +29,10 @@
 	Target      time.Time
 	Priority    int
 	ResultBytes int
-	Domain      string
+	// Domain is where the results are wanted.
+	Domain string
+	// LastUse is true when nothing else needs the inputs.
+	LastUse bool
 }
 
 // StageResult is one piece's result.
@@ -42,6 +46,8 @@
 	// RetryAfter is when there is room.
 	RetryAfter time.Duration
 	Reason     string
+	// Lost is true when a piece could not be made or its inputs are gone: running the stages anew may help.
+	Lost bool
 }
 
 // Error implements error.
@@ -60,13 +66,47 @@
 	err     error
 }
 
-// runStages runs all stages of the request, each as soon as those that it needs are done. It answers the request when
-// that fails; false then.
+// maxChains is how often the stages of one request are run: results are lost with their server, which is seldom lost
+// twice within a request's time.
+const maxChains = 2
+
+// runStages runs all stages of the request, and once more when results were lost and there is time. It answers the request
+// when that fails; false then.
 func (x *exchange) runStages() bool {
-	stages := x.route.Stages
-	if len(stages) == 0 {
+	if len(x.route.Stages) == 0 {
 		return true
 	}
+	for {
+		x.chains++
+		err := x.runChain()
+		x.staged = time.Since(x.begin)
+		var refused *StageRefused
+		switch {
+		case err == nil:
+			return true
+		case errors.As(err, &refused) && refused.Lost && x.mayRunChain():
+			continue
+		}
+		x.stagesFailed(err)
+		return false
+	}
+}
+
+// mayRunChain reports whether there is time to run the stages anew.
+func (x *exchange) mayRunChain() bool {
+	longest := time.Duration(0)
+	for i, st := range x.route.Stages {
+		if len(st.After) == 0 {
+			b := x.set.Services[st.Service].Batch
+			longest = max(longest, b.CallTime(pieces(x.call.Pieces, i))+x.timeBehind(i))
+		}
+	}
+	return x.chains < maxChains && x.ctx.Err() == nil && time.Until(x.deadline) > longest
+}
+
+// runChain runs each stage as soon as those that it needs are done.
+func (x *exchange) runChain() error {
+	stages := x.route.Stages
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
 	ends := make(chan stageEnd, len(stages))
@@ -74,6 +114,7 @@
 	begun := make([]bool, len(stages))
 	finished := make([]bool, len(stages))
 	running := 0
+	x.expires = make([]time.Time, len(stages))
 	var failed error
 	for {
 		if failed == nil {
@@ -86,22 +127,22 @@
 		running--
 		finished[e.stage] = true
 		done[e.stage] = e.results
+		ttl := x.set.Services[x.route.Stages[e.stage].Service].Batch.ResultTTL
+		x.expires[e.stage] = time.Now().Add(ttl - expiryMargin)
 		if e.err != nil && failed == nil {
 			failed = e.err
 			cancel()
 		}
 		x.freeUsed(finished, done)
 	}
-	x.staged = time.Since(x.begin)
 	if failed != nil {
 		for _, d := range done {
 			x.relay.opts.Stages.Free(handles(d))
 		}
-		x.stagesFailed(failed)
-		return false
+		return failed
 	}
 	x.collectInputs(done)
-	return true
+	return nil
 }
 
 // beginStages starts what can be started and returns how many.
@@ -121,8 +162,11 @@
 			return n + x.beginStages(ctx, begun, finished, done, ends)
 		}
 		q := x.stageRequest(i, count)
+		q.LastUse = len(st.After) > 0
 		for _, a := range st.After {
 			q.Inputs = append(q.Inputs, handles(done[a])...)
+			q.LastUse = q.LastUse && x.users(a) == 1
+			q.Deadline = earlier(q.Deadline, x.expires[a])
 		}
 		n++
 		go func() {
@@ -175,6 +219,29 @@
 	return 0
 }
 
+// users returns how many stages need the results of stage i.
+func (x *exchange) users(i int) int {
+	n := 0
+	for _, st := range x.route.Stages {
+		if slices.Contains(st.After, i) {
+			n++
+		}
+	}
+	return n
+}
+
+// earlier returns the earlier of two times; a zero one doesn't count.
+func earlier(a, b time.Time) time.Time {
+	if b.IsZero() || a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// expiryMargin is how long before its results expire a stage's successor must be begun: the way there and back, and the
+// time since the call that made them ended.
+const expiryMargin = 200 * time.Millisecond
+
 // freeUsed gives up the results of stages that every stage behind them has used; those that the request itself needs
 // stay.
 func (x *exchange) freeUsed(finished []bool, done [][]StageResult) {
@@ -193,19 +260,10 @@
 }
 
 // isLeaf reports whether no stage needs the results of stage i.
-func (x *exchange) isLeaf(i int) bool {
-	for _, st := range x.route.Stages {
-		for _, a := range st.After {
-			if a == i {
-				return false
-			}
-		}
-	}
-	return true
-}
+func (x *exchange) isLeaf(i int) bool { return x.users(i) == 0 }
 
 func (x *exchange) collectInputs(done [][]StageResult) {
-	x.inputMB = make(map[string]float64)
+	x.inputs, x.inputMB, x.freed = nil, make(map[string]float64), false
 	for i, d := range done {
 		if !x.isLeaf(i) {
 			continue
--- a/pkg/stagecall/runner.go
+++ b/pkg/stagecall/runner.go
@@ -35,6 +35,9 @@
 	retryReserve = 1.0
 	// freeInterval is how long results that were given up are gathered for one call.
 	freeInterval = 30 * time.Millisecond
+	// readTime is how long a server takes to read a call's inputs: at 10 Gbit/s a full call's take some milliseconds, the
+	// rest is for a link that loses a packet.
+	readTime = 80 * time.Millisecond
 	// freeTimeout bounds such a call; a result that stays is released by its server after a time.
 	freeTimeout = time.Second
 )
@@ -154,6 +157,7 @@
 		Deadline: now.Add(time.Duration(q.GetRemainingMs()) * time.Millisecond),
 		Target:   now.Add(time.Duration(q.GetTargetRemainingMs()) * time.Millisecond),
 		Priority: int(q.GetPriority()), ResultBytes: int64(q.GetResultBytes()), Domain: q.GetCallerDomain(),
+		LastUse: q.GetLastUse(),
 	}
 	for _, x := range q.GetPieces() {
 		j.Pieces = append(j.Pieces, Piece{Index: int(x.GetIndex()), Inputs: x.GetInputs()})
@@ -218,6 +222,7 @@
 			break
 		}
 		p.makers[c.Server.Address] = c.Server.ID
+		p.freeRead(&c)
 		go p.call(&c)
 	}
 	if wait, ok := p.sched.Wait(now); ok {
@@ -228,6 +233,20 @@
 	}
 }
 
+// freeRead gives up the inputs of jobs whose last pieces go out, once the server has read them. A free server reads them
+// as soon as a call comes. Should the call fail after that, the request's stages are lost with it.
+func (p *pool) freeRead(c *Call) {
+	var inputs []string
+	for _, part := range c.Parts {
+		if part.Job.LastUse && len(part.Job.Pieces) == 0 {
+			inputs = append(inputs, part.Pieces[0].Inputs...)
+		}
+	}
+	if len(inputs) > 0 {
+		time.AfterFunc(readTime, func() { p.runner.Free(inputs) })
+	}
+}
+
 // settle notes a piece's end; the pool's lock is held.
 func (w *waiter) settle(piece Piece, r dialect.PieceResult, domain string) {
 	i := piece.Index
--- a/pkg/stagecall/scheduler.go
+++ b/pkg/stagecall/scheduler.go
@@ -25,6 +25,8 @@
 	ResultBytes int64
 	// Domain is the failure domain where the results are wanted; empty when it doesn't matter.
 	Domain string
+	// LastUse is true when the inputs may be given up once all pieces have read them.
+	LastUse bool
 	// Arrived orders jobs with the same target.
 	Arrived time.Time
 
--- a/pkg/stageclient/stageclient.go
+++ b/pkg/stageclient/stageclient.go
@@ -17,6 +17,7 @@
 
 	daisyhatchv1 "github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1"
 	"github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1/daisyhatchv1connect"
+	"github.com/daisyhatch/daisyhatch/pkg/dialect"
 	"github.com/daisyhatch/daisyhatch/pkg/fleet"
 	"github.com/daisyhatch/daisyhatch/pkg/relay"
 	"github.com/daisyhatch/daisyhatch/pkg/stagecall"
@@ -123,6 +124,7 @@
 		Request: q.Request, Service: q.Service, Stage: uint32(q.Stage), Key: q.Key, RemainingMs: q.Deadline.Sub(now).Milliseconds(),
 		TargetRemainingMs: q.Target.Sub(now).Milliseconds(), Priority: uint32(max(q.Priority, 0)),
 		ResultBytes: uint64(max(q.ResultBytes, 0)), CallerDomain: q.Domain,
+		LastUse: q.LastUse,
 	}
 	for i := range q.Count {
 		req.Pieces = append(req.Pieces, &daisyhatchv1.StagePiece{Index: uint32(i), Inputs: q.Inputs})
@@ -141,7 +143,10 @@
 	defer c.mu.Unlock()
 	for _, r := range m.GetResults() {
 		if r.GetHandle() == "" {
-			failed = &relay.StageRefused{RetryAfter: pieceRetry, Reason: "a piece was not made: " + r.GetReason()}
+			failed = &relay.StageRefused{
+				RetryAfter: pieceRetry, Reason: "a piece was not made: " + r.GetReason(),
+				Lost: r.GetReason() == dialect.ReasonGone || r.GetReason() == dialect.ReasonError,
+			}
 			continue
 		}
 		c.owners[stagecall.AddressOf(r.GetHandle())] = owner
