Stage calls: forecasts by spare capacity; a server without room is left alone whatever the size; callers that come back are late

On both sites late jobs waited until their deadline for capacity that more urgent work took. Change: a server that has no room is left alone for all sizes; results of a control VM that died are given up by the entry VM; a job is refused as soon as it is not expected to be done in time, late jobs by the capacity that is left beside what comes; a caller's target counts from its first attempt, which its shorter patience tells. Conclusion: 0.4 is kept: bursts end within a deadline, and late answers are still answers.

--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -80,16 +80,28 @@
 	health *health
 	book   *placement.Book
 	plain  map[string]int
+	// patience is the longest that callers of each route were ready to wait.
+	patience map[string]time.Duration
 }
 
 // New returns a Relay.
 func New(o Options) *Relay {
 	return &Relay{
 		opts: o, cold: allowance.NewWindow(time.Second), health: newHealth(), book: placement.NewBook(),
-		plain: make(map[string]int),
+		plain: make(map[string]int), patience: make(map[string]time.Duration),
 	}
 }
 
+// waited returns how long a caller has waited already: one that was refused and came back has less patience than the
+// callers of its route have at first.
+func (r *Relay) waited(route string, patience time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	usual := max(r.patience[route], patience)
+	r.patience[route] = usual
+	return usual - patience
+}
+
 // Run drops old knowledge until ctx ends.
 func (r *Relay) Run(ctx context.Context) {
 	t := time.NewTicker(housekeepInterval)
@@ -141,6 +153,8 @@
 	ctx      context.Context
 	begin    time.Time
 	deadline time.Time
+	// waited is how long the caller had waited before, in an attempt that was refused.
+	waited time.Duration
 
 	set          *catalog.Set
 	route        *catalog.Route
@@ -200,10 +214,14 @@
 		patience = defaultPatience
 	}
 	x.deadline = x.begin.Add(min(patience, x.route.Timeout))
+	x.waited = x.relay.waited(x.route.Name, patience)
 	x.lastEvent = x.call.ResumeAfter
 	return x.readBody()
 }
 
+// target is until when the answer has its full worth.
+func (x *exchange) target() time.Time { return x.begin.Add(x.route.Target - x.waited) }
+
 func hostOf(host string) string {
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		return h
--- a/pkg/relay/stages.go
+++ b/pkg/relay/stages.go
@@ -31,8 +31,6 @@
 	ResultBytes int
 	// Domain is where the results are wanted.
 	Domain string
-	// LastUse is true when nothing else needs the inputs.
-	LastUse bool
 }
 
 // StageResult is one piece's result.
@@ -162,10 +160,8 @@
 			return n + x.beginStages(ctx, begun, finished, done, ends)
 		}
 		q := x.stageRequest(i, count)
-		q.LastUse = len(st.After) > 0
 		for _, a := range st.After {
 			q.Inputs = append(q.Inputs, handles(done[a])...)
-			q.LastUse = q.LastUse && x.users(a) == 1
 			q.Deadline = earlier(q.Deadline, x.expires[a])
 		}
 		n++
@@ -190,7 +186,7 @@
 	rest := x.timeBehind(i)
 	q := StageRequest{
 		Request: x.call.ID, Service: x.route.Stages[i].Service, Stage: i, Key: x.call.PieceKey, Count: count,
-		Deadline: x.deadline.Add(-rest), Target: x.begin.Add(x.route.Target - rest), Priority: int(x.priority),
+		Deadline: x.deadline.Add(-rest), Target: x.target().Add(-rest), Priority: int(x.priority),
 		ResultBytes: x.route.Stages[i].ResultBytes, Domain: x.relay.opts.FailureDomain,
 	}
 	return q
--- a/pkg/stagecall/runner.go
+++ b/pkg/stagecall/runner.go
@@ -35,9 +35,6 @@
 	retryReserve = 1.0
 	// freeInterval is how long results that were given up are gathered for one call.
 	freeInterval = 30 * time.Millisecond
-	// readTime is how long a server takes to read a call's inputs: at 10 Gbit/s a full call's take some milliseconds, the
-	// rest is for a link that loses a packet.
-	readTime = 80 * time.Millisecond
 	// freeTimeout bounds such a call; a result that stays is released by its server after a time.
 	freeTimeout = time.Second
 )
@@ -157,7 +154,6 @@
 		Deadline: now.Add(time.Duration(q.GetRemainingMs()) * time.Millisecond),
 		Target:   now.Add(time.Duration(q.GetTargetRemainingMs()) * time.Millisecond),
 		Priority: int(q.GetPriority()), ResultBytes: int64(q.GetResultBytes()), Domain: q.GetCallerDomain(),
-		LastUse: q.GetLastUse(),
 	}
 	for _, x := range q.GetPieces() {
 		j.Pieces = append(j.Pieces, Piece{Index: int(x.GetIndex()), Inputs: x.GetInputs()})
@@ -168,14 +164,15 @@
 // add queues a job unless it can't be done in time; the wait is returned then.
 func (p *pool) add(w *waiter, now time.Time) (time.Duration, bool) {
 	p.mu.Lock()
-	wait := p.sched.Forecast(w.job, p.runner.opts.View.Serving(p.service, now), now)
-	if now.Add(wait).Add(p.sched.batch.CallTime(len(w.job.Pieces))).After(w.job.Deadline) {
+	servers := p.runner.opts.View.Serving(p.service, now)
+	if _, ok := p.sched.Forecast(w.job, servers, now); !ok {
+		backlog := p.sched.Backlog(servers, now)
 		p.mu.Unlock()
-		return wait, false
+		return backlog, false
 	}
 	p.budget.Attempt(now)
 	w.job.owner = w
-	p.sched.Add(w.job)
+	p.sched.Arrive(w.job, now)
 	p.mu.Unlock()
 	p.dispatch()
 	return 0, true
@@ -209,12 +206,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	for _, j := range p.sched.Expired(now) {
+	servers := p.runner.opts.View.Serving(p.service, now)
+	for _, j := range p.sched.Hopeless(servers, now) {
 		for _, piece := range j.Pieces {
 			j.owner.settle(piece, dialect.PieceResult{Reason: dialect.ReasonLate}, "")
 		}
 	}
-	servers := p.runner.opts.View.Serving(p.service, now)
 	p.sched.Retain(servers)
 	for {
 		c, ok := p.sched.Next(servers, now)
@@ -222,7 +219,6 @@
 			break
 		}
 		p.makers[c.Server.Address] = c.Server.ID
-		p.freeRead(&c)
 		go p.call(&c)
 	}
 	if wait, ok := p.sched.Wait(now); ok {
@@ -233,20 +229,6 @@
 	}
 }
 
-// freeRead gives up the inputs of jobs whose last pieces go out, once the server has read them. A free server reads them
-// as soon as a call comes. Should the call fail after that, the request's stages are lost with it.
-func (p *pool) freeRead(c *Call) {
-	var inputs []string
-	for _, part := range c.Parts {
-		if part.Job.LastUse && len(part.Job.Pieces) == 0 {
-			inputs = append(inputs, part.Pieces[0].Inputs...)
-		}
-	}
-	if len(inputs) > 0 {
-		time.AfterFunc(readTime, func() { p.runner.Free(inputs) })
-	}
-}
-
 // settle notes a piece's end; the pool's lock is held.
 func (w *waiter) settle(piece Piece, r dialect.PieceResult, domain string) {
 	i := piece.Index
--- a/pkg/stagecall/scheduler.go
+++ b/pkg/stagecall/scheduler.go
@@ -25,8 +25,6 @@
 	ResultBytes int64
 	// Domain is the failure domain where the results are wanted; empty when it doesn't matter.
 	Domain string
-	// LastUse is true when the inputs may be given up once all pieces have read them.
-	LastUse bool
 	// Arrived orders jobs with the same target.
 	Arrived time.Time
 
@@ -78,6 +76,8 @@
 	slowRatio = 2.0
 	// smoothing is the weight of the newest call in a server's average.
 	smoothing = 0.4
+	// filledSmoothing is the weight of the newest full call.
+	filledSmoothing = 0.1
 	// avoidFirst and avoidMost are how long a server that failed a call is avoided: doubled with each failure in a row.
 	avoidFirst = 500 * time.Millisecond
 	avoidMost  = 4 * time.Second
@@ -87,6 +87,14 @@
 	largeResult = 50_000
 	// remoteWait is how long a job with large results waits for a server where they are wanted.
 	remoteWait = 150 * time.Millisecond
+	// priorityStep is how much earlier a target a less urgent job needs to go before a more urgent one: half of a usual call.
+	priorityStep = 150 * time.Millisecond
+	// inflowWindow is the time over which the inflow is counted: a few calls long.
+	inflowWindow = 2 * time.Second
+	// leastSpare is the share of the capacity that is taken to be left for late jobs at least.
+	leastSpare = 0.4
+	// lateMargin is the share of a late job's time that its forecast may use: more urgent work goes on arriving.
+	lateMargin = 0.95
 	// roomMargin is the share of a server's room that is used; sizes are approximate.
 	roomMargin = 0.9
 )
@@ -114,19 +122,49 @@
 	batch   catalog.Batch
 	jobs    []*Job
 	servers map[string]*serverState
+	// inflow are the pieces of the jobs that came within inflowWindow.
+	inflow []arrival
+	// filled is the average count of pieces of calls that left pieces waiting: below the size of a call where results take
+	// all room.
+	filled float64
+}
+
+type arrival struct {
+	at     time.Time
+	pieces int
 }
 
 // NewScheduler returns a Scheduler for a service.
 func NewScheduler(b catalog.Batch) *Scheduler {
-	return &Scheduler{batch: b, servers: make(map[string]*serverState)}
+	return &Scheduler{batch: b, servers: make(map[string]*serverState), filled: float64(b.Size)}
 }
 
 // Configure takes over a changed configuration of the service.
 func (s *Scheduler) Configure(b catalog.Batch) { s.batch = b }
 
-// Add queues a job.
+// Arrive queues a new job.
+func (s *Scheduler) Arrive(j *Job, now time.Time) {
+	s.inflow = append(s.inflow, arrival{now, len(j.Pieces)})
+	s.Add(j)
+}
+
+// Add queues a job again.
 func (s *Scheduler) Add(j *Job) { s.jobs = append(s.jobs, j) }
 
+// inflowRate returns the pieces that came in a second.
+func (s *Scheduler) inflowRate(now time.Time) float64 {
+	i := 0
+	for i < len(s.inflow) && now.Sub(s.inflow[i].at) > inflowWindow {
+		i++
+	}
+	s.inflow = s.inflow[i:]
+	n := 0
+	for _, a := range s.inflow {
+		n += a.pieces
+	}
+	return float64(n) / inflowWindow.Seconds()
+}
+
 // Waiting returns how many pieces wait.
 func (s *Scheduler) Waiting() int {
 	n := 0
@@ -141,19 +179,78 @@
 	s.jobs = slices.DeleteFunc(s.jobs, func(k *Job) bool { return k == j })
 }
 
-// Expired takes the jobs out of the queue that can't be done before their deadline even if they start now.
-func (s *Scheduler) Expired(now time.Time) []*Job {
+// Hopeless takes the jobs out of the queue that are not expected to be done before their deadline.
+func (s *Scheduler) Hopeless(servers []Server, now time.Time) []*Job {
+	if len(s.jobs) == 0 {
+		return nil
+	}
+	s.order(now)
+	f := s.capacity(servers, now)
+	before := 0
 	var out []*Job
 	s.jobs = slices.DeleteFunc(s.jobs, func(j *Job) bool {
-		late := j.Deadline.Sub(now) < s.batch.CallTime(1)
-		if late {
+		if !s.inTime(j, f, before, now) {
 			out = append(out, j)
+			return true
 		}
-		return late
+		before += len(j.Pieces)
+		return false
 	})
 	return out
 }
 
+// flow is what the servers can do and what comes.
+type flow struct {
+	// capacity and inflow are in pieces a second.
+	capacity, inflow float64
+	// free is true when a server has a free place.
+	free bool
+}
+
+func (s *Scheduler) capacity(servers []Server, now time.Time) flow {
+	f := flow{inflow: s.inflowRate(now)}
+	size := max(s.filled, 1)
+	for _, v := range servers {
+		st := s.state(v.ID)
+		if !st.usable(now) {
+			continue
+		}
+		f.capacity += size / (s.batch.CallTime(int(size)).Seconds() * max(st.speed(), 1))
+		f.free = f.free || st.busy < s.batch.Slots
+	}
+	return f
+}
+
+// wait returns how long a job waits for a server when so many pieces go before it. More urgent work that is still to come
+// goes before a late job as well, so that only the spare capacity counts for one.
+func (s *Scheduler) wait(j *Job, f flow, before int, now time.Time) time.Duration {
+	if f.capacity == 0 {
+		// No server can be used now: one that is avoided is tried again after avoidMost at the latest.
+		return avoidMost
+	}
+	rate := f.capacity
+	if !s.onTime(j, now) {
+		rate = max(f.capacity-f.inflow, leastSpare*f.capacity)
+	}
+	w := time.Duration(float64(before) / rate * float64(time.Second))
+	if !f.free {
+		// On average the running calls are half done.
+		w += s.batch.CallTime(int(s.filled)) / 4
+	}
+	return w
+}
+
+func (s *Scheduler) inTime(j *Job, f flow, before int, now time.Time) bool {
+	left := j.Deadline.Sub(now)
+	if !s.onTime(j, now) {
+		left = time.Duration(lateMargin * float64(left))
+	}
+	return s.wait(j, f, before, now)+s.batch.CallTime(min(len(j.Pieces), s.batch.Size)) <= left
+}
+
+// urgentAt orders jobs that can meet their targets: by target, and a step of priority counts as priorityStep.
+func (j *Job) urgentAt() time.Time { return j.Target.Add(time.Duration(j.Priority) * priorityStep) }
+
 // Next returns the call to make now; false when no server is free or nothing waits.
 func (s *Scheduler) Next(servers []Server, now time.Time) (Call, bool) {
 	if len(s.jobs) == 0 {
@@ -168,6 +265,9 @@
 		s.state(v.ID).busy++
 		c.Begun = now
 		c.Expected = s.batch.CallTime(c.Count())
+		if len(s.jobs) > 0 {
+			s.filled += filledSmoothing * (float64(c.Count()) - s.filled)
+		}
 		return c, true
 	}
 	return Call{}, false
@@ -193,7 +293,7 @@
 	case x != y:
 		return 1
 	case x:
-		return cmp.Or(a.Target.Compare(b.Target), cmp.Compare(a.Priority, b.Priority), a.Arrived.Compare(b.Arrived))
+		return cmp.Or(a.urgentAt().Compare(b.urgentAt()), a.Arrived.Compare(b.Arrived))
 	}
 	return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.Deadline.Compare(b.Deadline), a.Arrived.Compare(b.Arrived))
 }
@@ -276,12 +376,12 @@
 
 // mayRun reports whether a job may go to a server now.
 func (s *Scheduler) mayRun(j *Job, v Server, st *serverState, now time.Time) bool {
-	if j.ResultBytes < largeResult {
-		return true
-	}
 	if now.Before(st.roomless) {
 		return false
 	}
+	if j.ResultBytes < largeResult {
+		return true
+	}
 	spare := s.onTime(j, now.Add(remoteWait)) && now.Sub(j.Arrived) < remoteWait
 	return j.Domain == "" || j.Domain == v.Domain || !spare
 }
@@ -365,35 +465,25 @@
 	}
 }
 
-// Forecast returns how long the pieces of a job that is queued now wait for a server, from the pieces that go before them
-// and the servers' speed.
-func (s *Scheduler) Forecast(j *Job, servers []Server, now time.Time) time.Duration {
-	rate, free := 0.0, false
-	full := s.batch.CallTime(s.batch.Size).Seconds()
-	for _, v := range servers {
-		st := s.state(v.ID)
-		if !st.usable(now) {
-			continue
-		}
-		rate += float64(s.batch.Size) / (full * st.speed())
-		free = free || st.busy < s.batch.Slots
-	}
-	if rate == 0 {
-		// No server can be used now: one that is avoided is tried again after avoidMost at the latest.
-		return avoidMost
-	}
+// Forecast returns how long a job that is queued now waits for a server, and whether it is expected to be done in time.
+func (s *Scheduler) Forecast(j *Job, servers []Server, now time.Time) (time.Duration, bool) {
 	before := 0
 	for _, k := range s.jobs {
 		if s.compare(k, j, now) <= 0 {
 			before += len(k.Pieces)
 		}
 	}
-	wait := float64(before) / rate
-	if !free {
-		// On average a running call is half done.
-		wait += full / 2 / float64(max(len(servers), 1))
+	f := s.capacity(servers, now)
+	return s.wait(j, f, before, now), s.inTime(j, f, before, now)
+}
+
+// Backlog returns how long the servers need for all that waits, beside what comes.
+func (s *Scheduler) Backlog(servers []Server, now time.Time) time.Duration {
+	f := s.capacity(servers, now)
+	if f.capacity == 0 {
+		return avoidMost
 	}
-	return time.Duration(wait * float64(time.Second))
+	return time.Duration(float64(s.Waiting()) / max(f.capacity-f.inflow, leastSpare*f.capacity) * float64(time.Second))
 }
 
 // Wait returns when something may have changed without an event: a server that is avoided comes back. False when
--- a/pkg/stageclient/stageclient.go
+++ b/pkg/stageclient/stageclient.go
@@ -124,7 +124,6 @@
 		Request: q.Request, Service: q.Service, Stage: uint32(q.Stage), Key: q.Key, RemainingMs: q.Deadline.Sub(now).Milliseconds(),
 		TargetRemainingMs: q.Target.Sub(now).Milliseconds(), Priority: uint32(max(q.Priority, 0)),
 		ResultBytes: uint64(max(q.ResultBytes, 0)), CallerDomain: q.Domain,
-		LastUse: q.LastUse,
 	}
 	for i := range q.Count {
 		req.Pieces = append(req.Pieces, &daisyhatchv1.StagePiece{Index: uint32(i), Inputs: q.Inputs})
@@ -192,6 +191,8 @@
 	defer cancel()
 	client := daisyhatchv1connect.NewFleetServiceClient(c.http, "http://"+owner)
 	if _, err := client.StageFree(ctx, connect.NewRequest(&daisyhatchv1.StageFreeRequest{Handles: handles})); err != nil {
-		c.log.Info("results not given up", "control", owner, "count", len(handles), "reason", err.Error())
+		c.log.Info("results given up without the control VM that had them made", "control", owner, "count", len(handles),
+			"reason", err.Error())
+		c.local.Free(handles)
 	}
 }
