Stages run in the failure domain of the engine that the request would go to

Change: the results that the request needs are wanted in the domain of the engine it would go to, those between stages where their inputs lie.

--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -19,7 +19,7 @@
 	// runTokens is what a running request costs the others: each step of the batch takes longer by it.
 	runTokens = 150
 	// remoteTokens is for inputs that cross failure domains, per megabyte.
-	remoteTokensPerMB = 250
+	remoteTokensPerMB = 370
 	// rankTokens separates engines that are alike: the next engine in a session's order is used only when the one before
 	// is busier by this much.
 	rankTokens = 600
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -168,6 +168,8 @@
 	// expires is when the results of each stage are gone.
 	expires []time.Time
 	inputMB map[string]float64
+	// home is the failure domain of the server that the request would have gone to before its stages.
+	home string
 	// chains is how often the stages were run.
 	chains int
 	sent   *placement.Sent
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -140,6 +140,19 @@
 	return fleet.Candidate{}, false
 }
 
+// homeDomain returns the failure domain of the server that the request would go to now.
+func (x *exchange) homeDomain() string {
+	now := time.Now()
+	r := x.relay
+	candidates := r.opts.Knowledge.Serving(x.service.Name, now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ranked := r.rank(x, candidates, now); len(ranked) > 0 {
+		return ranked[0].Domain
+	}
+	return ""
+}
+
 // coldShare is how many requests this VM may send to a cold server within a second.
 func (r *Relay) coldShare(s *catalog.Service, server string, now time.Time) int {
 	bound := s.ColdRate*r.opts.ColdOverrun + float64(r.opts.ColdExtra)
--- a/pkg/relay/stages.go
+++ b/pkg/relay/stages.go
@@ -74,6 +74,7 @@
 	if len(x.route.Stages) == 0 {
 		return true
 	}
+	x.home = x.homeDomain()
 	for {
 		x.chains++
 		err := x.runChain()
@@ -159,7 +160,7 @@
 			finished[i] = true
 			return n + x.beginStages(ctx, begun, finished, done, ends)
 		}
-		q := x.stageRequest(i, count)
+		q := x.stageRequest(i, count, done)
 		for _, a := range st.After {
 			q.Inputs = append(q.Inputs, handles(done[a])...)
 			q.Deadline = earlier(q.Deadline, x.expires[a])
@@ -182,16 +183,30 @@
 	return true
 }
 
-func (x *exchange) stageRequest(i, count int) StageRequest {
+func (x *exchange) stageRequest(i, count int, done [][]StageResult) StageRequest {
 	rest := x.timeBehind(i)
 	q := StageRequest{
 		Request: x.call.ID, Service: x.route.Stages[i].Service, Stage: i, Key: x.call.PieceKey, Count: count,
 		Deadline: x.deadline.Add(-rest), Target: x.target().Add(-rest), Priority: int(x.priority),
-		ResultBytes: x.route.Stages[i].ResultBytes, Domain: x.relay.opts.FailureDomain,
+		ResultBytes: x.route.Stages[i].ResultBytes, Domain: x.wantedIn(i, done),
 	}
 	return q
 }
 
+// wantedIn returns the failure domain where a stage's results are wanted: the engine's for those that the request itself
+// needs, otherwise where the inputs lie, so that what follows finds them near.
+func (x *exchange) wantedIn(i int, done [][]StageResult) string {
+	if x.isLeaf(i) {
+		return x.home
+	}
+	for _, a := range x.route.Stages[i].After {
+		for _, r := range done[a] {
+			return r.Domain
+		}
+	}
+	return ""
+}
+
 // timeBehind is what the chain behind a stage takes at least: the longest way through the stages that need it, and the
 // engine.
 func (x *exchange) timeBehind(stage int) time.Duration {
--- a/pkg/stagecall/scheduler.go
+++ b/pkg/stagecall/scheduler.go
@@ -92,7 +92,7 @@
 	// inflowWindow is the time over which the inflow is counted: a few calls long.
 	inflowWindow = 2 * time.Second
 	// leastSpare is the share of the capacity that is taken to be left for late jobs at least.
-	leastSpare = 0.4
+	leastSpare = 0.5
 	// lateMargin is the share of a late job's time that its forecast may use: more urgent work goes on arriving.
 	lateMargin = 0.95
 	// roomMargin is the share of a server's room that is used; sizes are approximate.
