Fleet: a frozen or dark control VM is noticed after 600 ms; connecting is given up after 350 ms

Change: heartbeats of 200 ms, which name the VMs only when that changed; a connection is tried for 350 ms and again after 100 ms. Ruled out: the election (leader 0.14 s after the fifth VM's start).

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -114,6 +114,7 @@
 	k := kernel.New(log, b)
 	services := []kernel.Service{&ops{process: p}, &peers{process: p}}
 	if s.Fleet != nil {
+		p.network = fleetNetwork(n)
 		more, err := fleetServices(p)
 		if err != nil {
 			return nil, fmt.Errorf("daemon: %w", err)
--- a/pkg/daemon/fleet.go
+++ b/pkg/daemon/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -72,6 +73,18 @@
 // consensusName is the VM's name in the control group: first voters know one another by address only.
 func (p *process) consensusName() string { return p.settings.Listen.Peers.Addr().String() }
 
+// fleetDialTimeout bounds connecting to another VM of a fleet: a few times the way between regions. A VM without power
+// does not refuse, and the system sends an opening packet again only after a second.
+const fleetDialTimeout = 350 * time.Millisecond
+
+// fleetNetwork returns the network of a VM of a fleet.
+func fleetNetwork(n listen.Network) listen.Network {
+	if n.Dial == nil {
+		n.Dial = (&net.Dialer{Timeout: fleetDialTimeout}).DialContext
+	}
+	return n
+}
+
 // seedPeers returns the peer addresses of seeds.
 func (p *process) seedPeers(seeds []netip.AddrPort) []string {
 	out := make([]string, 0, len(seeds))
--- a/pkg/fleet/control.go
+++ b/pkg/fleet/control.go
@@ -49,8 +49,9 @@
 	confirmInterval = 400 * time.Millisecond
 	// confirmLife is how long a confirmation makes what this VM says current.
 	confirmLife = time.Second
-	// followHeartbeat is the longest silence on a follow stream.
-	followHeartbeat = 500 * time.Millisecond
+	// followHeartbeat is the longest silence on a follow stream: a request whose stage work lies on a VM that froze goes to
+	// another one after three of them.
+	followHeartbeat = 200 * time.Millisecond
 	// followBatch is the pause after an update, so that changes that come together go out together.
 	followBatch = 20 * time.Millisecond
 	// refreshInterval is how often followers hear that servers are still there: a third of what a silent one is kept.
--- a/pkg/fleet/feed.go
+++ b/pkg/fleet/feed.go
@@ -92,16 +92,31 @@
 	count   uint64
 	heard   uint64
 	heardAt time.Time
+	// addresses, entries and rosterAt are what was told of the VMs, and when.
+	addresses []string
+	entries   []string
+	rosterAt  time.Time
+}
+
+// fillRoster adds the VMs' names when they changed, and from time to time.
+func (f *feed) fillRoster(m *daisyhatchv1.FollowResponse, now time.Time) {
+	addresses, entries := f.control.controlAddresses(now), f.control.entries(now)
+	if slices.Equal(addresses, f.addresses) && slices.Equal(entries, f.entries) && now.Sub(f.rosterAt) < refreshInterval {
+		return
+	}
+	f.addresses, f.entries, f.rosterAt = addresses, entries, now
+	m.ControlAddresses, m.Entries = addresses, entries
 }
 
 func (f *feed) next(now time.Time) *daisyhatchv1.FollowResponse {
 	c := f.control
 	view, _ := c.opts.Machine.View()
 	r := view.Revision
-	m := &daisyhatchv1.FollowResponse{
-		Vm: c.opts.VM, Incarnation: c.opts.Incarnation, ControlAddresses: c.controlAddresses(now), Number: r.Number,
-		Version: r.Version, DomainsOut: r.DomainsOut, Current: c.isCurrent(now), Entries: c.entries(now),
+	m := &daisyhatchv1.FollowResponse{Number: r.Number, Version: r.Version, Current: c.isCurrent(now)}
+	if !f.started || r.Number != f.number {
+		m.DomainsOut = r.DomainsOut
 	}
+	f.fillRoster(m, now)
 	if r.Version > f.version {
 		m.Document = r.Document
 	}
--- a/pkg/fleet/follower.go
+++ b/pkg/fleet/follower.go
@@ -21,7 +21,7 @@
 	// asked for stage calls any longer then.
 	followSilence = 3 * followHeartbeat
 	// followRetry is the pause before a stream is opened again.
-	followRetry = 250 * time.Millisecond
+	followRetry = 100 * time.Millisecond
 	// rosterInterval is the time between two looks at the addresses.
 	rosterInterval = time.Second
 	// steadySource is how long a stream must have been open until its silence about a server says something.
@@ -195,7 +195,9 @@
 	now := time.Now()
 	state := f.opts.State
 	f.opts.Roster.Name(append(m.GetControlAddresses(), address), now)
-	state.setEntries(address, m.GetEntries(), now)
+	if len(m.GetControlAddresses()) > 0 {
+		state.setEntries(address, m.GetEntries(), now)
+	}
 	state.Merge(allFromWire(m.GetServers(), now))
 	if f.opts.PeerAddress != "" {
 		// A control VM's replicated state comes from its own log.
