--- /dev/null
+++ b/pkg/allowance/allowance_test.go
@@ -0,0 +1,70 @@
+package allowance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestSharesNeverAddUpToMoreThanTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		total := rapid.Float64Range(0, 300).Draw(t, "total")
+		var names []string
+		for i := range rapid.IntRange(1, 90).Draw(t, "VMs") {
+			names = append(names, fmt.Sprint("vm", i))
+		}
+		sum, least, most := 0, 1<<30, 0
+		for _, n := range names {
+			s := Share(total, "server", n, names)
+			sum += s
+			least, most = min(least, s), max(most, s)
+		}
+		if float64(sum) > total || most-least > 1 {
+			t.Fatalf("%d of %f handed out, from %d to %d", sum, total, least, most)
+		}
+		if sum != int(total*used) {
+			t.Fatalf("%d of %d units handed out", sum, int(total*used))
+		}
+	})
+}
+
+func TestUnknownVMHasNoShare(t *testing.T) {
+	require.Zero(t, Share(26, "server", "new", []string{"a", "b"}))
+	require.Zero(t, Share(26, "server", "new", nil))
+}
+
+func TestWindowSlides(t *testing.T) {
+	w, now := NewWindow(time.Second), time.Unix(100, 0)
+	require.True(t, w.Take("k", 2, now))
+	require.True(t, w.Take("k", 2, now.Add(600*time.Millisecond)))
+	require.False(t, w.Take("k", 2, now.Add(999*time.Millisecond)))
+	require.True(t, w.Take("other", 2, now.Add(999*time.Millisecond)))
+	require.True(t, w.Take("k", 2, now.Add(time.Second)))
+	require.Equal(t, 2, w.Count("k", now.Add(time.Second)))
+}
+
+// Seven VMs at which every request fails: together they stay below the ratio and the extra in every window.
+func TestRepeatsOfAllVMsStayWithinTheBudget(t *testing.T) {
+	const vms, ratio, extra = 7, 0.2, 54
+	window := 10 * time.Second
+	var all []*Repeats
+	for range vms {
+		all = append(all, NewRepeats(ratio, extra, window))
+	}
+	now := time.Unix(100, 0)
+	requests, repeats := NewWindow(window), NewWindow(window)
+	for i := range 20_000 {
+		now = now.Add(5 * time.Millisecond)
+		r := all[i*i%vms]
+		r.Request("s", now)
+		requests.Add("s", now)
+		for r.Allow("s", vms, now) {
+			repeats.Add("s", now)
+		}
+		require.LessOrEqual(t, float64(repeats.Count("s", now)), ratio*float64(requests.Count("s", now))+extra)
+	}
+	require.Positive(t, repeats.Count("s", now))
+}
--- /dev/null
+++ b/pkg/catalog/catalog_test.go
@@ -0,0 +1,74 @@
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func valid() *Set {
+	return &Set{
+		Version: 3,
+		Services: map[string]*Service{
+			"desk":   {Name: "desk"},
+			"encode": {Name: "encode", Batch: &Batch{Slots: 1, Size: 8}},
+		},
+		Routes: []*Route{
+			{Name: "r", Host: "h", PathPrefix: "/a/", Timeout: time.Second, Split: []Share{{"desk", 9}, {"encode", 1}}},
+			{Name: "deep", Host: "h", PathPrefix: "/a/b/", Timeout: time.Second, Split: []Share{{"desk", 1}},
+				Stages: []Stage{{Service: "encode"}, {Service: "encode", After: []int{0}}}},
+		},
+		Organisations: []*Organisation{{Name: "o", Keys: []string{"k1", "k2"}}, {Name: "p", Keys: []string{"k3"}}},
+	}
+}
+
+func TestValidSetMatchesByLongestPrefixAndKey(t *testing.T) {
+	s := valid()
+	require.NoError(t, s.Check())
+	require.Equal(t, "deep", s.Match("h", "/a/b/c").Name)
+	require.Equal(t, "r", s.Match("h", "/a/x").Name)
+	require.Nil(t, s.Match("h", "/a"))
+	require.Nil(t, s.Match("other", "/a/x"))
+	require.Equal(t, "o", s.Organisation("k2").Name)
+	require.Nil(t, s.Organisation("k4"))
+	require.Nil(t, s.Organisation(""))
+}
+
+func TestInvalidSetsAreRefusedWithTheFault(t *testing.T) {
+	cases := map[string]struct {
+		change func(s *Set)
+		says   string
+	}{
+		"unknown service": {func(s *Set) { s.Routes[0].Split[0].Service = "nobody" }, `unknown service "nobody"`},
+		"unknown stage":   {func(s *Set) { s.Routes[1].Stages[0].Service = "nobody" }, `unknown service "nobody"`},
+		"stage on a plain service": {
+			func(s *Set) { s.Routes[1].Stages[0].Service = "desk" }, "runs no stages",
+		},
+		"cycle":        {func(s *Set) { s.Routes[1].Stages[0].After = []int{1} }, "not before it"},
+		"same place":   {func(s *Set) { s.Routes[1].PathPrefix = "/a/" }, "share host"},
+		"no weight":    {func(s *Set) { s.Routes[0].Split = []Share{{"desk", 0}} }, "add up to 0"},
+		"no timeout":   {func(s *Set) { s.Routes[0].Timeout = 0 }, "no timeout"},
+		"shared key":   {func(s *Set) { s.Organisations[1].Keys = []string{"k1"} }, "share a key"},
+		"no version":   {func(s *Set) { s.Version = 0 }, "version is missing"},
+		"bad prefix":   {func(s *Set) { s.Routes[0].PathPrefix = "/a" }, "slash"},
+		"empty pieces": {func(s *Set) { s.Services["encode"].Batch.Size = 0 }, "takes no pieces"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := valid()
+			c.change(s)
+			err := s.Check()
+			require.ErrorIs(t, err, ErrInvalid)
+			require.ErrorContains(t, err, c.says)
+		})
+	}
+}
+
+func TestPickFollowsTheWeights(t *testing.T) {
+	r := valid().Routes[0]
+	require.Equal(t, "desk", r.Pick(0))
+	require.Equal(t, "desk", r.Pick(0.89))
+	require.Equal(t, "encode", r.Pick(0.91))
+	require.Equal(t, "encode", r.Pick(0.999999))
+}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -19,6 +20,7 @@
 	"github.com/daisyhatch/daisyhatch/pkg/invariant"
 	"github.com/daisyhatch/daisyhatch/pkg/kernel"
 	"github.com/daisyhatch/daisyhatch/pkg/listen"
+	"github.com/daisyhatch/daisyhatch/pkg/logsink"
 	"github.com/daisyhatch/daisyhatch/pkg/settings"
 	"github.com/daisyhatch/daisyhatch/pkg/version"
 )
@@ -39,8 +41,8 @@
 	network     listen.Network
 }
 
-// NewLogger returns the daemon's logger: JSON lines on standard error. level is error, info or debug.
-func NewLogger(level, vm string) logr.Logger {
+// NewLogger returns the daemon's logger: JSON lines to out. level is error, info or debug.
+func NewLogger(out io.Writer, level, vm string) logr.Logger {
 	var l slog.Level
 	switch level {
 	case "error":
@@ -50,14 +52,16 @@
 	default:
 		l = slog.LevelInfo
 	}
-	h := slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: l})
+	h := slog.NewJSONHandler(out, &slog.HandlerOptions{Level: l})
 	return logr.FromSlogHandler(h).WithValues("vm", vm)
 }
 
 // Run runs the daemon until ctx ends or the process is told to stop by SIGTERM or SIGINT. A second signal stops
 // it at once.
 func Run(ctx context.Context, s *settings.Settings) error {
-	log := NewLogger(s.Log.Level, s.VM.Name)
+	sink := logsink.New(os.Stdout)
+	defer sink.Close()
+	log := NewLogger(sink, s.Log.Level, s.VM.Name)
 	b := bus.New(log)
 	k, err := Build(s, log, b, invariant.NewRecorder(log), listen.Network{})
 	if err != nil {
--- a/pkg/daemon/fleet.go
+++ b/pkg/daemon/fleet.go
@@ -272,7 +272,7 @@
 	defer signal.Stop(hangup)
 	tick := time.NewTicker(reloadInterval)
 	defer tick.Stop()
-	var seen time.Time
+	seen := modified(f.path)
 	for {
 		reason := "file changed"
 		select {
@@ -281,11 +281,11 @@
 		case <-hangup:
 			reason = "signal"
 		case <-tick.C:
-			info, err := os.Stat(f.path)
-			if err != nil || info.ModTime().Equal(seen) {
+			now := modified(f.path)
+			if now.Equal(seen) {
 				continue
 			}
-			seen = info.ModTime()
+			seen = now
 		}
 		s, err := settings.Load(f.path)
 		if err != nil {
@@ -299,6 +299,15 @@
 	}
 }
 
+// modified returns when a file was changed; the zero time while it can't be looked at, as between two renames.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
 // Stop implements kernel.Service.
 func (f *fleetFollow) Stop(context.Context) error {
 	f.cancel()
--- /dev/null
+++ b/pkg/directory/directory_test.go
@@ -0,0 +1,100 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func server(id string, born int64, seq uint64, state State) Server {
+	return Server{ID: id, Born: born, Sequence: seq, Service: "s", Address: "10.0.0.1:80", Domain: "a", State: state, Heard: start}
+}
+
+func TestLateAnnouncementDoesNotBringALeavingServerBack(t *testing.T) {
+	for _, state := range []State{Draining, Gone} {
+		d := New()
+		d.Merge(server("i", 5, 1, Ready))
+		d.Merge(server("i", 5, 3, state))
+		require.Equal(t, Stale, d.Merge(server("i", 5, 2, Ready)))
+		d.Merge(server("i", 5, 9, Ready))
+		require.Empty(t, d.Serving("s"), "an incarnation that began to leave came back from %s", state)
+		require.Equal(t, Changed, d.Merge(server("i", 6, 1, Ready)))
+		require.Len(t, d.Serving("s"), 1, "the next incarnation serves")
+	}
+}
+
+func TestLeaveOfAnUnknownServerOutlastsItsLateAnnouncement(t *testing.T) {
+	d := New()
+	d.Leave("i", start)
+	d.Merge(server("i", 5, 7, Ready))
+	require.Empty(t, d.Serving("s"))
+}
+
+func TestAddressBelongsToTheLaterIncarnation(t *testing.T) {
+	older, newer := server("old", 5, 100, Ready), server("new", 6, 1, Ready)
+	for _, order := range [][]Server{{older, newer}, {newer, older}} {
+		d := New()
+		for _, s := range order {
+			d.Merge(s)
+		}
+		serving := d.Serving("s")
+		require.Len(t, serving, 1)
+		require.Equal(t, "new", serving[0].ID)
+		owner, ok := d.ByAddress("10.0.0.1:80")
+		require.True(t, ok)
+		require.Equal(t, "new", owner.ID)
+	}
+}
+
+func TestOrderOfAnnouncementsDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []Server
+		for _, born := range []int64{10, 20} {
+			left := Ready
+			for seq := uint64(1); seq <= 4; seq++ {
+				if rapid.Bool().Draw(t, "leaves") && left < Gone {
+					left++
+				}
+				all = append(all, server("i", born, seq, left))
+			}
+		}
+		a, b := New(), New()
+		for _, s := range all {
+			a.Merge(s)
+		}
+		for _, i := range rapid.Permutation(indexes(len(all))).Draw(t, "order") {
+			b.Merge(all[i])
+		}
+		x, _ := a.Get("i")
+		y, _ := b.Get("i")
+		if x.Born != y.Born || x.State != y.State {
+			t.Fatalf("in order %v of %d, mixed %v of %d", x.State, x.Born, y.State, y.Born)
+		}
+	})
+}
+
+func indexes(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
+
+func TestSilentServersAreForgottenAndDeparturesKeptLonger(t *testing.T) {
+	d := New()
+	d.Merge(server("i", 5, 1, Ready))
+	gone := server("g", 5, 1, Gone)
+	gone.Address = "10.0.0.2:80"
+	d.Merge(gone)
+	require.Empty(t, d.Expire(start.Add(keptSilent)))
+	require.Len(t, d.Expire(start.Add(keptSilent+time.Second)), 1)
+	_, ok := d.Get("g")
+	require.True(t, ok)
+	require.Empty(t, d.Expire(start.Add(keptGone+time.Second)))
+	require.Empty(t, d.All())
+}
--- a/pkg/operator/cli.go
+++ b/pkg/operator/cli.go
@@ -37,6 +37,7 @@
 	Report     reportCmd     `cmd:"" help:"Reports."`
 	Order      orderCmd      `cmd:"" help:"Orders to model engines."`
 	Control    controlCmd    `cmd:"" help:"The control group."`
+	Explain    explainCmd    `cmd:"" help:"Show what the VMs logged of one request."`
 	Version    versionCmd    `cmd:"" help:"Show the version."`
 	Completion completionCmd `cmd:"" help:"Print a completion script for a shell."`
 }
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -52,7 +52,7 @@
 	Domain string
 }
 
-// Load is what this VM has on one engine.
+// load is what this VM has on one engine.
 type load struct {
 	runs    int
 	reading int
@@ -68,32 +68,48 @@
 // NewBook returns an empty Book.
 func NewBook() *Book { return &Book{engines: make(map[string]*load)} }
 
+// ranked is an engine with its place in a session's order and its cost.
+type ranked struct {
+	engine *Engine
+	rank   uint64
+	cost   float64
+}
+
 // Choose returns the engines from best to worst. memory is one engine's memory in tokens.
 func (b *Book) Choose(r Request, engines []Engine, memory int, now time.Time) []Engine {
 	if len(engines) < 2 {
 		return engines
 	}
-	home := sessionOrder(r.Prompt, engines)
-	costs := make(map[string]float64, len(engines))
-	for i := range home {
-		costs[home[i].ID] = b.cost(r, &home[i], i, memory, now)
+	list := make([]ranked, len(engines))
+	key := sessionKey(r.Prompt)
+	for i := range engines {
+		list[i] = ranked{engine: &engines[i], rank: mix(xxhash.Sum64String(engines[i].ID) ^ key)}
+	}
+	slices.SortFunc(list, func(x, y ranked) int { return cmp.Compare(x.rank, y.rank) })
+	for i := range list {
+		list[i].cost = b.cost(&r, list[i].engine, i, memory, now)
 	}
-	slices.SortStableFunc(home, func(x, y Engine) int { return cmp.Compare(costs[x.ID], costs[y.ID]) })
-	return home
+	slices.SortStableFunc(list, func(x, y ranked) int { return cmp.Compare(x.cost, y.cost) })
+	out := make([]Engine, len(list))
+	for i := range list {
+		out[i] = *list[i].engine
+	}
+	return out
 }
 
-func (b *Book) cost(r Request, e *Engine, place, memory int, now time.Time) float64 {
+func (b *Book) cost(r *Request, e *Engine, place, memory int, now time.Time) float64 {
 	cost := float64(place) * rankTokens / 4
 	if place > 0 {
 		cost += rankTokens
 	}
-	if l := b.engines[e.ID]; l != nil {
+	l := b.engines[e.ID]
+	if l != nil {
 		cost += float64(l.reading + l.runs*runTokens)
 		if r.Prompt != nil && memory > 0 && l.tokens+r.Prompt.Tokens > memory {
 			cost += memoryTokens
 		}
 	}
-	cost += float64(b.missing(r.Prompt, e.ID, now))
+	cost += float64(l.missing(r.Prompt, now))
 	for domain, mb := range r.InputMB {
 		if domain != e.Domain {
 			cost += mb * remoteTokensPerMB
@@ -109,11 +125,10 @@
 }
 
 // missing estimates the tokens of a prompt that an engine must read.
-func (b *Book) missing(p *dialect.Prompt, engine string, now time.Time) int {
+func (l *load) missing(p *dialect.Prompt, now time.Time) int {
 	if p == nil {
 		return 0
 	}
-	l := b.engines[engine]
 	missing := p.Tokens
 	for _, part := range p.Parts {
 		if l == nil {
@@ -128,20 +143,12 @@
 	return max(missing, 0)
 }
 
-// sessionOrder ranks the engines by a hash of the prompt's shared parts.
-func sessionOrder(p *dialect.Prompt, engines []Engine) []Engine {
-	out := slices.Clone(engines)
-	key := uint64(0)
-	if p != nil && len(p.Parts) > 0 {
-		key = p.Parts[max(0, len(p.Parts)-2)].ID
-	}
-	rank := make(map[string]uint64, len(out))
-	for _, e := range out {
-		rank[e.ID] = xxhash.Sum64String(e.ID) ^ key*0x9e3779b97f4a7c15
-		rank[e.ID] = mix(rank[e.ID])
+// sessionKey names a prompt's session: the last part that it shares.
+func sessionKey(p *dialect.Prompt) uint64 {
+	if p == nil || len(p.Parts) == 0 {
+		return 0
 	}
-	slices.SortFunc(out, func(x, y Engine) int { return cmp.Or(cmp.Compare(rank[x.ID], rank[y.ID]), cmp.Compare(x.ID, y.ID)) })
-	return out
+	return p.Parts[max(0, len(p.Parts)-2)].ID * 0x9e3779b97f4a7c15
 }
 
 // mix spreads the bits of a hash.
@@ -170,7 +177,7 @@
 	}
 	s := &Sent{engine: engine}
 	if p != nil {
-		s.reading, s.tokens = b.missing(p, engine, now), p.Tokens+p.MaxOutput
+		s.reading, s.tokens = l.missing(p, now), p.Tokens+p.MaxOutput
 		for _, part := range p.Parts {
 			l.kept[part.ID] = now
 		}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -24,6 +24,7 @@
 	"github.com/daisyhatch/daisyhatch/pkg/catalog"
 	"github.com/daisyhatch/daisyhatch/pkg/dialect"
 	"github.com/daisyhatch/daisyhatch/pkg/fleet"
+	"github.com/daisyhatch/daisyhatch/pkg/logsink"
 	"github.com/daisyhatch/daisyhatch/pkg/placement"
 	"github.com/daisyhatch/daisyhatch/pkg/upstream"
 )
@@ -73,8 +74,8 @@
 type Relay struct {
 	opts     Options
 	cold     *allowance.Window
+	answered *logsink.Budget
 	stopping atomic.Bool
-	inFlight sync.WaitGroup
 
 	mu     sync.Mutex
 	health *health
@@ -87,7 +88,7 @@
 // New returns a Relay.
 func New(o Options) *Relay {
 	return &Relay{
-		opts: o, cold: allowance.NewWindow(time.Second), health: newHealth(), book: placement.NewBook(),
+		opts: o, cold: allowance.NewWindow(time.Second), answered: logsink.NewBudget(logsink.AnsweredPerSecond), health: newHealth(), book: placement.NewBook(),
 		plain: make(map[string]int), patience: make(map[string]time.Duration),
 	}
 }
@@ -307,26 +308,46 @@
 // finish logs and counts the request, and cuts the connection of an answer that must not look complete.
 func (x *exchange) finish() {
 	took := time.Since(x.begin)
-	route := ""
-	service := ""
+	x.count(took)
+	late := x.route != nil && x.first+x.waited > x.route.Target
+	wanted, leftOut := true, uint64(0)
+	if x.outcome == "answered" && x.status < http.StatusInternalServerError && !late {
+		wanted, leftOut = x.relay.answered.Allow(time.Now())
+	}
+	if wanted {
+		x.log(took, late, leftOut)
+	}
+	if x.abort {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (x *exchange) count(took time.Duration) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`daisyhatch_relay_requests_total{outcome=%q,status="%d"}`, x.outcome, x.status)).Inc()
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`daisyhatch_relay_request_seconds{outcome=%q}`, x.outcome)).Update(took.Seconds())
+}
+
+// log writes the line of the request: what was decided, by what, and how old that was.
+func (x *exchange) log(took time.Duration, late bool, leftOut uint64) {
+	route, service, version := "", "", uint64(0)
 	if x.route != nil {
 		route = x.route.Name
 	}
 	if x.service != nil {
 		service = x.service.Name
 	}
-	k := x.relay.opts.Knowledge
-	version := uint64(0)
 	if x.set != nil {
 		version = x.set.Version
 	}
-	x.relay.opts.Log.Info("request", "id", x.call.ID, "route", route, "service", service, "organisation", x.organisation,
-		"outcome", x.outcome, "status", x.status, "reason", x.reason, "took_ms", took.Milliseconds(),
-		"staged_ms", x.staged.Milliseconds(), "first_ms", x.first.Milliseconds(), "servers", x.tried,
-		"version", version, "state", k.Number(), "state_age_ms", k.ContactAge(time.Now()).Milliseconds())
-	metrics.GetOrCreateCounter(fmt.Sprintf(`daisyhatch_relay_requests_total{outcome=%q,status="%d"}`, x.outcome, x.status)).Inc()
-	metrics.GetOrCreateHistogram(fmt.Sprintf(`daisyhatch_relay_request_seconds{outcome=%q}`, x.outcome)).Update(took.Seconds())
-	if x.abort {
-		panic(http.ErrAbortHandler)
+	k := x.relay.opts.Knowledge
+	fields := []any{
+		"id", x.call.ID, "route", route, "service", service, "organisation", x.organisation, "outcome", x.outcome,
+		"status", x.status, "reason", x.reason, "late", late, "took_ms", took.Milliseconds(), "waited_ms", x.waited.Milliseconds(),
+		"staged_ms", x.staged.Milliseconds(), "chains", x.chains, "first_ms", x.first.Milliseconds(), "servers", x.tried,
+		"version", version, "state", k.Number(), "state_age_ms", k.ContactAge(time.Now()).Milliseconds(),
+	}
+	if leftOut > 0 {
+		fields = append(fields, "lines_left_out", leftOut)
 	}
+	x.relay.opts.Log.Info("request", fields...)
 }
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -35,7 +35,7 @@
 				x.answered(c, time.Since(res.begun))
 				x.freeInputs()
 			}
-			if werr := x.forward(res, event, events.Buffered() == 0, flusher); werr != nil {
+			if werr := x.forward(res, event, !holdsEvent(events), flusher); werr != nil {
 				res.close()
 				x.ended(c, false, false)
 				x.outcome, x.reason, x.abort = "left", "the caller takes no more: "+werr.Error(), true
@@ -107,6 +107,13 @@
 	return true
 }
 
+// holdsEvent reports whether another whole event was read already, so that both can go out together.
+func holdsEvent(r *bufio.Reader) bool {
+	// Peeking at what is buffered doesn't fail.
+	b, _ := r.Peek(r.Buffered())
+	return bytes.Contains(b, []byte("\n\n")) || bytes.Contains(b, []byte("\n\r\n"))
+}
+
 // readEvent reads one event with the empty line behind it. At the end of a stream it returns io.EOF, and
 // io.ErrUnexpectedEOF when the end is within an event.
 func readEvent(r *bufio.Reader) ([]byte, error) {
--- a/pkg/replica/node.go
+++ b/pkg/replica/node.go
@@ -131,7 +131,7 @@
 // are applied once the group has confirmed them. Errors: those of package wal, and those of the state machine.
 func NewNode(o Options) (*Node, error) {
 	o.setDefaults()
-	log := o.Log.WithName("replica").WithValues("vm", o.VM)
+	log := o.Log.WithName("replica").WithValues("member", o.VM)
 	w, s, err := wal.Open(wal.Options{FS: o.FS, Dir: o.DataDir, Log: log})
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrStorage, err)
--- /dev/null
+++ b/pkg/stagecall/scheduler_test.go
@@ -0,0 +1,268 @@
+package stagecall
+
+import (
+	"container/heap"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/daisyhatch/daisyhatch/pkg/catalog"
+)
+
+var (
+	begin = time.Unix(1000, 0)
+	batch = catalog.Batch{
+		Slots: 1, Size: 8, PerCall: 200 * time.Millisecond, PerPiece: 21 * time.Millisecond, ResultBytes: 18_000_000,
+		ResultTTL: 4 * time.Second,
+	}
+)
+
+func servers(n int) []Server {
+	var out []Server
+	for i := range n {
+		out = append(out, Server{ID: fmt.Sprint("s", i), Address: fmt.Sprint("a", i), Domain: string(rune('a' + i%3))})
+	}
+	return out
+}
+
+func job(name string, pieces int, at, target, deadline time.Duration) *Job {
+	j := &Job{Request: name, Arrived: begin.Add(at), Target: begin.Add(target), Deadline: begin.Add(deadline)}
+	for i := range pieces {
+		j.Pieces = append(j.Pieces, Piece{Index: i})
+	}
+	return j
+}
+
+// load replays arrivals against servers that take exactly what a call should; it returns how many jobs met their target
+// and how many their deadline.
+type load struct {
+	sched   *Scheduler
+	servers []Server
+	ends    callEnds
+	onTime  int
+	done    int
+	calls   int
+	left    map[*Job]int
+}
+
+type callEnd struct {
+	at   time.Time
+	call Call
+}
+
+type callEnds []callEnd
+
+func (e callEnds) Len() int           { return len(e) }
+func (e callEnds) Less(i, k int) bool { return e[i].at.Before(e[k].at) }
+func (e callEnds) Swap(i, k int)      { e[i], e[k] = e[k], e[i] }
+func (e *callEnds) Push(x any)        { *e = append(*e, x.(callEnd)) }
+func (e *callEnds) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+func (l *load) dispatch(now time.Time) {
+	l.sched.Hopeless(l.servers, now)
+	for {
+		c, ok := l.sched.Next(l.servers, now)
+		if !ok {
+			return
+		}
+		l.calls++
+		heap.Push(&l.ends, callEnd{now.Add(c.Expected), c})
+	}
+}
+
+func (l *load) until(now time.Time) {
+	for len(l.ends) > 0 && !l.ends[0].at.After(now) {
+		e := heap.Pop(&l.ends).(callEnd)
+		l.sched.Done(&e.call, Outcome{}, e.at)
+		for _, p := range e.call.Parts {
+			l.left[p.Job] -= len(p.Pieces)
+			if l.left[p.Job] > 0 {
+				continue
+			}
+			if !e.at.After(p.Job.Target) {
+				l.onTime++
+			}
+			if !e.at.After(p.Job.Deadline) {
+				l.done++
+			}
+		}
+		l.dispatch(e.at)
+	}
+}
+
+func (l *load) arrive(j *Job) {
+	l.until(j.Arrived)
+	l.left[j] = len(j.Pieces)
+	if _, ok := l.sched.Forecast(j, l.servers, j.Arrived); ok {
+		l.sched.Arrive(j, j.Arrived)
+	}
+	l.dispatch(j.Arrived)
+}
+
+func newLoad(n int) *load {
+	return &load{sched: NewScheduler(batch), servers: servers(n), left: make(map[*Job]int)}
+}
+
+// The load of the narrow pool: requests of two or three pieces, more than the servers could take with a piece a call.
+func TestCallsFillUnderLoad(t *testing.T) {
+	l := newLoad(5)
+	jobs := 0
+	for at := time.Duration(0); at < 20*time.Second; at += 30 * time.Millisecond {
+		l.arrive(job(fmt.Sprint(at), 2+jobs%2, at, at+900*time.Millisecond, at+5*time.Second))
+		jobs++
+	}
+	l.until(begin.Add(time.Minute))
+	require.Greater(t, float64(l.onTime)/float64(jobs), 0.98, "83 pieces a second fit into full calls, 23 into single ones")
+}
+
+// A burst of twice the capacity for three seconds must not make the requests after it late.
+func TestBacklogThatIsLateGoesBehind(t *testing.T) {
+	l := newLoad(5)
+	after := 0
+	for at := time.Duration(0); at < 10*time.Second; at += 25 * time.Millisecond {
+		n := 1
+		if at < 3*time.Second {
+			n = 5
+		}
+		j := job(fmt.Sprint(at), n, at, at+900*time.Millisecond, at+5*time.Second)
+		before := l.onTime
+		l.arrive(j)
+		if at == 4*time.Second {
+			after = before
+		}
+	}
+	l.until(begin.Add(time.Minute))
+	require.Greater(t, l.onTime-after, 220, "of 240 requests after the burst")
+}
+
+func TestJobsThatCannotBeDoneAreRefusedAtOnce(t *testing.T) {
+	l := newLoad(1)
+	for i := range 40 {
+		j := job(fmt.Sprint(i), 8, 0, time.Second, 3*time.Second)
+		l.sched.Arrive(j, begin)
+	}
+	refused := l.sched.Hopeless(l.servers, begin)
+	require.GreaterOrEqual(t, len(refused), 30, "one server takes eight calls of eight in three seconds")
+	_, ok := l.sched.Forecast(job("x", 8, 0, 100*time.Millisecond, 300*time.Millisecond), l.servers, begin)
+	require.False(t, ok, "a call takes 368 ms")
+}
+
+func TestResultsTakeRoomUntilGivenUp(t *testing.T) {
+	s, v := NewScheduler(batch), servers(1)
+	for i := range 3 {
+		j := job(fmt.Sprint(i), 5, 0, time.Second, 5*time.Second)
+		j.ResultBytes = 3_000_000
+		s.Arrive(j, begin)
+	}
+	c, ok := s.Next(v, begin)
+	require.True(t, ok)
+	require.Equal(t, 5, c.Count(), "16.2 MB hold five results of 3 MB")
+	now := begin.Add(time.Second)
+	s.Done(&c, Outcome{Handles: [][]string{{"h0", "h1", "h2", "h3", "h4"}}}, now)
+	_, ok = s.Next(v, now)
+	require.False(t, ok)
+	s.Freed("s0", []string{"h0", "h1", "h2", "h3", "h4"})
+	_, ok = s.Next(v, now)
+	require.True(t, ok)
+}
+
+func TestServerWithoutRoomIsLeftAloneForSmallResultsToo(t *testing.T) {
+	s, v := NewScheduler(batch), servers(1)
+	j := job("a", 2, 0, time.Second, 5*time.Second)
+	j.ResultBytes = 6000
+	s.Arrive(j, begin)
+	c, _ := s.Next(v, begin)
+	s.Done(&c, Outcome{NoRoom: true}, begin)
+	s.Add(job("b", 2, 0, time.Second, 5*time.Second))
+	_, ok := s.Next(v, begin.Add(time.Millisecond))
+	require.False(t, ok)
+	_, ok = s.Next(v, begin.Add(roomlessFor))
+	require.True(t, ok)
+}
+
+func TestLargeResultsWaitAMomentForTheirDomain(t *testing.T) {
+	s, v := NewScheduler(batch), servers(1)
+	j := job("a", 2, 0, 2*time.Second, 5*time.Second)
+	j.ResultBytes, j.Domain = 1_500_000, "b"
+	s.Arrive(j, begin)
+	_, ok := s.Next(v, begin)
+	require.False(t, ok)
+	_, ok = s.Next(v, begin.Add(remoteWait))
+	require.True(t, ok)
+}
+
+func TestSlowServerIsUsedOnlyWhenTheOthersDoNotSuffice(t *testing.T) {
+	s, v := NewScheduler(batch), servers(2)
+	s.state("s0").ratio = 5
+	s.Arrive(job("a", 2, 0, time.Second, 5*time.Second), begin)
+	c, ok := s.Next(v, begin)
+	require.True(t, ok)
+	require.Equal(t, "s1", c.Server.ID)
+	s.Arrive(job("b", 2, 0, time.Second, 5*time.Second), begin)
+	_, ok = s.Next(v, begin)
+	require.False(t, ok)
+	for i := range 5 {
+		s.Arrive(job(fmt.Sprint(i), 2, 0, time.Second, 5*time.Second), begin)
+	}
+	c, ok = s.Next(v, begin)
+	require.True(t, ok)
+	require.Equal(t, "s0", c.Server.ID)
+}
+
+// Whatever arrives and ends, a piece is in one place, calls keep to their size, and a server runs one call.
+func TestSchedulerKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, v, now := NewScheduler(batch), servers(3), begin
+		var running []Call
+		total, out := 0, 0
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				j := job("j", rapid.IntRange(1, 12).Draw(t, "pieces"), now.Sub(begin), now.Sub(begin)+time.Second, now.Sub(begin)+time.Hour)
+				j.ResultBytes = int64(rapid.IntRange(0, 2_000_000).Draw(t, "bytes"))
+				total += len(j.Pieces)
+				s.Arrive(j, now)
+			case 1:
+				if c, ok := s.Next(v, now); ok {
+					if c.Count() > batch.Size || c.Count() == 0 {
+						t.Fatalf("a call of %d pieces", c.Count())
+					}
+					running = append(running, c)
+				}
+			case 2:
+				if len(running) > 0 {
+					c := running[0]
+					running = running[1:]
+					out += c.Count()
+					s.Done(&c, Outcome{Failed: rapid.Bool().Draw(t, "failed")}, now)
+				}
+			}
+			busy := map[string]bool{}
+			n := s.Waiting() + out
+			for _, c := range running {
+				if busy[c.Server.ID] {
+					t.Fatalf("two calls on %s", c.Server.ID)
+				}
+				busy[c.Server.ID] = true
+				n += c.Count()
+			}
+			if n != total {
+				t.Fatalf("%d of %d pieces", n, total)
+			}
+			for id, st := range s.servers {
+				if st.held < 0 {
+					t.Fatalf("%s holds %d bytes", id, st.held)
+				}
+			}
+		}
+	})
+}
