Placement: sessions keep to their engines

Change: leaving costs as much as the shared part (600 -> 4500 tokens), what an engine has yet to read counts three tenths, a running request twice, a cold engine more than leaving.

--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -17,16 +17,19 @@
 // Costs in tokens that an engine reads in the same time.
 const (
 	// runTokens is what a running request costs the others: each step of the batch takes longer by it.
-	runTokens = 150
-	// remoteTokens is for inputs that cross failure domains, per megabyte.
+	runTokens = 350
+	// remoteTokensPerMB is for inputs that cross failure domains: the sites price 1 MB like 370 tokens that are read again.
 	remoteTokensPerMB = 370
-	// rankTokens separates engines that are alike: the next engine in a session's order is used only when the one before
-	// is busier by this much.
-	rankTokens = 600
+	// rankTokens is what leaving a session's engine costs later on: about its shared part, which is read again. The next
+	// engine in the session's order is used only when the one before is busier by this much.
+	rankTokens = 4500
+	// readingShare weighs the tokens that an engine has yet to read for this VM: waiting for them costs time, reading a
+	// shared part again elsewhere costs the whole system.
+	readingShare = 0.3
 	// slowTokens is what each unit of slowness beyond the usual costs.
 	slowTokens = 4000
 	// coldTokens is for an engine that bears little load.
-	coldTokens = 3000
+	coldTokens = 8000
 	// memoryTokens is the cost of an engine whose memory is full by own sends.
 	memoryTokens = 20000
 )
@@ -104,7 +107,7 @@
 	}
 	l := b.engines[e.ID]
 	if l != nil {
-		cost += float64(l.reading + l.runs*runTokens)
+		cost += float64(l.reading)*readingShare + float64(l.runs*runTokens)
 		if r.Prompt != nil && memory > 0 && l.tokens+r.Prompt.Tokens > memory {
 			cost += memoryTokens
 		}
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -42,7 +42,7 @@
 				return true
 			}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			res.close()
 			x.ended(c, false, false)
 			x.endStream(res)
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -324,7 +324,7 @@
 // read reads heads until one belongs to the call.
 func (x *exchange) read(call *Call) (*Answer, error) {
 	for stray := 0; ; {
-		res, err := http.ReadResponse(x.conn.reader, &http.Request{Method: call.Method})
+		res, err := http.ReadResponse(x.conn.reader, &http.Request{Method: call.Method}) //nolint:bodyclose // closed with the Answer
 		if err != nil {
 			return nil, fmt.Errorf("upstream: read: %w", err)
 		}
@@ -365,7 +365,7 @@
 // Read implements io.Reader.
 func (x *exchange) Read(b []byte) (int, error) {
 	n, err := x.body.Read(b)
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		x.eof = true
 	} else if err != nil {
 		err = x.cause(fmt.Errorf("upstream: read body: %w", err))
