Stages run where their inputs lie when these are larger than their results

Every piece of a stage reads all its inputs: ten pieces of the third stage read 0.36 MB each. Change: a stage with large inputs is wanted where they lie; what would cross decides whether a job waits for a server there.

--- a/pkg/relay/stages.go
+++ b/pkg/relay/stages.go
@@ -31,6 +31,8 @@
 	ResultBytes int
 	// Domain is where the results are wanted.
 	Domain string
+	// CrossingBytes is about what crosses failure domains when the pieces are made elsewhere.
+	CrossingBytes int
 }
 
 // StageResult is one piece's result.
@@ -189,21 +191,38 @@
 		Request: x.call.ID, Service: x.route.Stages[i].Service, Stage: i, Key: x.call.PieceKey, Count: count,
 		Deadline: x.deadline.Add(-rest), Target: x.target().Add(-rest), Priority: int(x.priority),
 		ResultBytes: x.route.Stages[i].ResultBytes, Domain: x.wantedIn(i, done),
+		CrossingBytes: x.crossing(i, count, done),
 	}
 	return q
 }
 
-// wantedIn returns the failure domain where a stage's results are wanted: the engine's for those that the request itself
-// needs, otherwise where the inputs lie, so that what follows finds them near.
-func (x *exchange) wantedIn(i int, done [][]StageResult) string {
+// crossing is about what crosses failure domains when a stage is made elsewhere than it is wanted: the results that the
+// engine reads, or the inputs, which every piece reads for itself.
+func (x *exchange) crossing(i, count int, done [][]StageResult) int {
+	bytes := 0
 	if x.isLeaf(i) {
-		return x.home
+		bytes = count * x.route.Stages[i].ResultBytes
 	}
+	for _, a := range x.route.Stages[i].After {
+		bytes = max(bytes, count*len(done[a])*x.route.Stages[a].ResultBytes)
+	}
+	return bytes
+}
+
+// wantedIn returns the failure domain where a stage should run: where its inputs lie when they are larger than its
+// results, the engine's for results that the request itself needs.
+func (x *exchange) wantedIn(i int, done [][]StageResult) string {
+	leaf := x.isLeaf(i)
 	for _, a := range x.route.Stages[i].After {
 		for _, r := range done[a] {
-			return r.Domain
+			if !leaf || len(done[a])*x.route.Stages[a].ResultBytes > x.route.Stages[i].ResultBytes {
+				return r.Domain
+			}
 		}
 	}
+	if leaf {
+		return x.home
+	}
 	return ""
 }
 
--- a/pkg/stagecall/runner.go
+++ b/pkg/stagecall/runner.go
@@ -154,6 +154,7 @@
 		Deadline: now.Add(time.Duration(q.GetRemainingMs()) * time.Millisecond),
 		Target:   now.Add(time.Duration(q.GetTargetRemainingMs()) * time.Millisecond),
 		Priority: int(q.GetPriority()), ResultBytes: int64(q.GetResultBytes()), Domain: q.GetCallerDomain(),
+		CrossingBytes: int64(q.GetCrossingBytes()),
 	}
 	for _, x := range q.GetPieces() {
 		j.Pieces = append(j.Pieces, Piece{Index: int(x.GetIndex()), Inputs: x.GetInputs()})
--- a/pkg/stagecall/scheduler.go
+++ b/pkg/stagecall/scheduler.go
@@ -25,6 +25,8 @@
 	ResultBytes int64
 	// Domain is the failure domain where the results are wanted; empty when it doesn't matter.
 	Domain string
+	// CrossingBytes is about what crosses failure domains when the pieces are made elsewhere.
+	CrossingBytes int64
 	// Arrived orders jobs with the same target.
 	Arrived time.Time
 
@@ -83,9 +85,10 @@
 	avoidMost  = 4 * time.Second
 	// roomlessFor is how long a server that has no room is left alone: about the time after which results are given up.
 	roomlessFor = 400 * time.Millisecond
-	// largeResult is the size from which it matters where a result is made: results that cross failure domains are priced.
-	largeResult = 50_000
-	// remoteWait is how long a job with large results waits for a server where they are wanted.
+	// largeCrossing is the size from which it matters where a job is made: bytes that cross failure domains are priced, at
+	// some hundredths of a usual request's worth from here on.
+	largeCrossing = 300_000
+	// remoteWait is how long a job waits for a server where it is wanted.
 	remoteWait = 150 * time.Millisecond
 	// priorityStep is how much earlier a target a less urgent job needs to go before a more urgent one: half of a usual call.
 	priorityStep = 150 * time.Millisecond
@@ -276,7 +279,7 @@
 	if now.Before(st.roomless) {
 		return false
 	}
-	if j.ResultBytes < largeResult {
+	if j.CrossingBytes < largeCrossing {
 		return true
 	}
 	spare := s.onTime(j, now.Add(remoteWait)) && now.Sub(j.Arrived) < remoteWait
--- a/pkg/stagecall/scheduler_test.go
+++ b/pkg/stagecall/scheduler_test.go
@@ -191,7 +191,7 @@
 func TestLargeResultsWaitAMomentForTheirDomain(t *testing.T) {
 	s, v := NewScheduler(batch), servers(1)
 	j := job("a", 2, 0, 2*time.Second, 5*time.Second)
-	j.ResultBytes, j.Domain = 1_500_000, "b"
+	j.CrossingBytes, j.Domain = 1_500_000, "b"
 	s.Arrive(j, begin)
 	_, ok := s.Next(v, begin)
 	require.False(t, ok)
--- a/pkg/stageclient/stageclient.go
+++ b/pkg/stageclient/stageclient.go
@@ -124,6 +124,7 @@
 		Request: q.Request, Service: q.Service, Stage: uint32(q.Stage), Key: q.Key, RemainingMs: q.Deadline.Sub(now).Milliseconds(),
 		TargetRemainingMs: q.Target.Sub(now).Milliseconds(), Priority: uint32(max(q.Priority, 0)),
 		ResultBytes: uint64(max(q.ResultBytes, 0)), CallerDomain: q.Domain,
+		CrossingBytes: uint64(max(q.CrossingBytes, 0)),
 	}
 	for i := range q.Count {
 		req.Pieces = append(req.Pieces, &daisyhatchv1.StagePiece{Index: uint32(i), Inputs: q.Inputs})
