--- a/pkg/stagecall/scheduler.go
+++ b/pkg/stagecall/scheduler.go
@@ -89,7 +89,7 @@
 	// some hundredths of a usual request's worth from here on.
 	largeCrossing = 300_000
 	// remoteWait is how long a job waits for a server where it is wanted.
-	remoteWait = 150 * time.Millisecond
+	remoteWait = 300 * time.Millisecond
 	// priorityStep is how much earlier a target a less urgent job needs to go before a more urgent one: half of a usual call.
 	priorityStep = 150 * time.Millisecond
 	// roomMargin is the share of a server's room that is used; sizes are approximate.
