Servers that no control VM hears are left out; results of a lost control VM are given up at once

Change: a server that was not heard for 4.5 s is quiet and used only while it goes on answering; results go back through the entry VM itself when their control VM is not heard. Tests: directory, relay and stagecall: quiet servers.

--- a/pkg/daemon/fleet.go
+++ b/pkg/daemon/fleet.go
@@ -203,7 +203,7 @@
 func (v stageView) Serving(service string, now time.Time) []stagecall.Server {
 	var out []stagecall.Server
 	for _, c := range v.State.Serving(service, now) {
-		out = append(out, stagecall.Server{ID: c.ID, Address: c.Address, Domain: c.Domain})
+		out = append(out, stagecall.Server{ID: c.ID, Address: c.Address, Domain: c.Domain, Quiet: c.Quiet})
 	}
 	return out
 }
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -51,9 +51,13 @@
 	ColdUntil time.Time
 	// Heard is when the announcement reached the system, by this VM's monotonic clock.
 	Heard time.Time
+	// Quiet is true when the server was not heard for quietAfter: it may be dead, or cut off from the control VMs.
+	Quiet bool
 }
 
 const (
+	// quietAfter is the silence from which a server is quiet: three announcements of about a second, and lateness.
+	quietAfter = 4500 * time.Millisecond
 	// keptSilent is how long a server that announces nothing is kept. Announcements come about every second and are
 	// late by seconds at times.
 	keptSilent = 15 * time.Second
@@ -111,7 +115,14 @@
 
 // again handles an announcement that is not newer than the one known.
 func (d *Directory) again(old, s *Server, c int) Change {
-	if c == 0 && s.Heard.After(old.Heard) {
+	if c != 0 {
+		return Stale
+	}
+	if s.Quiet && !old.Quiet {
+		old.Quiet = true
+		return Changed
+	}
+	if s.Heard.After(old.Heard) {
 		old.Heard = s.Heard
 		return Refreshed
 	}
@@ -145,7 +156,7 @@
 
 func differs(a, b *Server) bool {
 	cold := a.ColdUntil.Sub(b.ColdUntil).Abs() > coldSlack && (a.ColdUntil.After(a.Heard) || b.ColdUntil.After(a.Heard))
-	return cold || a.Born != b.Born || a.State != b.State || a.Service != b.Service || a.Address != b.Address ||
+	return cold || a.Quiet != b.Quiet || a.Born != b.Born || a.State != b.State || a.Service != b.Service || a.Address != b.Address ||
 		a.Domain != b.Domain || a.Slots != b.Slots
 }
 
@@ -204,6 +215,18 @@
 	return out
 }
 
+// Quieten marks the servers that were not heard for quietAfter, and returns those that were not marked before.
+func (d *Directory) Quieten(now time.Time) []Server {
+	var out []Server
+	for _, s := range d.servers {
+		if !s.Quiet && s.State != Gone && now.Sub(s.Heard) > quietAfter {
+			s.Quiet = true
+			out = append(out, *s)
+		}
+	}
+	return out
+}
+
 // Expire drops what was not heard for long and returns the servers that were still in use.
 func (d *Directory) Expire(now time.Time) []Server {
 	var silent []Server
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -98,3 +98,20 @@
 	require.Empty(t, d.Expire(start.Add(keptGone+time.Second)))
 	require.Empty(t, d.All())
 }
+
+func TestServerThatIsNotHeardTurnsQuietUntilItsNextAnnouncement(t *testing.T) {
+	d := New()
+	d.Merge(server("i", 5, 1, Ready))
+	require.Empty(t, d.Quieten(start.Add(quietAfter)))
+	now := start.Add(quietAfter + time.Millisecond)
+	require.Len(t, d.Quieten(now), 1)
+	require.Empty(t, d.Quieten(now), "told once")
+	require.True(t, d.Serving("s")[0].Quiet)
+	next := server("i", 5, 2, Ready)
+	next.Heard = now
+	require.Equal(t, Changed, d.Merge(next))
+	require.False(t, d.Serving("s")[0].Quiet)
+	old := server("i", 5, 1, Ready)
+	old.Quiet = true
+	require.Equal(t, Stale, d.Merge(old), "a VM that heard less knows less")
+}
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -40,7 +40,7 @@
 // beliefs are the messages of changed beliefs and lost or regained dependencies.
 var beliefs = map[string]bool{
 	"state in force": true, "server announced": true, "server left": true, "server fell silent": true,
-	"control VM found": true, "control VM lost": true, "control group changed": true, "leader changed": true,
+	"server is quiet": true, "control VM found": true, "control VM lost": true, "control group changed": true, "leader changed": true,
 	"control group confirms this VM's state": true, "settings reloaded": true, "started": true, "stopping": true,
 	"disk is in use again": true,
 }
--- a/pkg/fleet/control.go
+++ b/pkg/fleet/control.go
@@ -193,6 +193,9 @@
 }
 
 func (c *Control) expire(context.Context) {
+	for _, v := range c.opts.State.Quieten(time.Now()) {
+		c.opts.Log.Info("server is quiet", "server", v.ID, "service", v.Service, "address", v.Address)
+	}
 	for _, v := range c.opts.State.Expire(time.Now()) {
 		c.opts.Log.Info("server fell silent", "server", v.ID, "service", v.Service, "address", v.Address)
 	}
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -165,6 +165,21 @@
 	return gone
 }
 
+// Quieten marks servers that were not heard for some time.
+func (s *State) Quieten(now time.Time) []directory.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	quiet := s.dir.Quieten(now)
+	for _, v := range quiet {
+		s.changes++
+		s.changedAt[v.ID] = s.changes
+	}
+	if len(quiet) > 0 {
+		s.signal()
+	}
+	return quiet
+}
+
 // signal wakes those that wait for a change; s.mu is held.
 func (s *State) signal() {
 	close(s.wake)
--- a/pkg/relay/decide_test.go
+++ b/pkg/relay/decide_test.go
@@ -98,7 +98,7 @@
 	require.False(t, h.usable("s", now.Add(avoidFirst)), "longer after the second failure in a row")
 	require.Greater(t, h.suspicion("s", now), 1.0)
 	require.Zero(t, h.suspicion("s", now.Add(failureMemory)))
-	h.answered("pool", "s", 10*time.Millisecond)
+	h.answered("pool", "s", 10*time.Millisecond, now)
 	h.failed("s", now)
 	require.True(t, h.usable("s", now.Add(avoidFirst)), "an answer ends the row")
 }
@@ -107,11 +107,19 @@
 	h := newHealth()
 	for range 50 {
 		for _, s := range []string{"a", "b", "c"} {
-			h.answered("pool", s, 60*time.Millisecond)
+			h.answered("pool", s, 60*time.Millisecond, time.Unix(100, 0))
 		}
-		h.answered("pool", "slow", 300*time.Millisecond)
+		h.answered("pool", "slow", 300*time.Millisecond, time.Unix(100, 0))
 	}
 	require.InDelta(t, 1, h.slowness("pool", "a"), 0.6)
 	require.Greater(t, h.slowness("pool", "slow"), 2.0)
 	require.InDelta(t, 1, h.slowness("pool", "unknown"), 0)
 }
+
+func TestQuietServerIsTrustedWhileItAnswers(t *testing.T) {
+	h, now := newHealth(), time.Unix(100, 0)
+	require.False(t, h.trusted("s", now))
+	h.answered("pool", "s", time.Millisecond, now)
+	require.True(t, h.trusted("s", now.Add(trustFor-1)))
+	require.False(t, h.trusted("s", now.Add(trustFor)))
+}
--- a/pkg/relay/health.go
+++ b/pkg/relay/health.go
@@ -9,6 +9,8 @@
 	avoidMost  = 4 * time.Second
 	// failureMemory is how long a failure makes a server look worse than its fellows.
 	failureMemory = 8 * time.Second
+	// trustFor is how long an answer shows that a server lives that the control VMs don't hear.
+	trustFor = 2 * time.Second
 	// healthSmoothing is the weight of the newest time to the first byte.
 	healthSmoothing = 0.2
 )
@@ -27,6 +29,8 @@
 	// weight counts recent failures; it decays over failureMemory.
 	weight float64
 	first  time.Duration
+	// answeredAt is when it last answered this VM.
+	answeredAt time.Time
 }
 
 func newHealth() *health {
@@ -48,6 +52,12 @@
 	return s == nil || !now.Before(s.avoided)
 }
 
+// trusted reports whether a server that the control VMs don't hear may be used as any other: it answered this VM lately.
+func (h *health) trusted(id string, now time.Time) bool {
+	s := h.servers[id]
+	return s != nil && now.Sub(s.answeredAt) < trustFor
+}
+
 // failed notes a call that got no answer.
 func (h *health) failed(id string, now time.Time) {
 	s := h.get(id)
@@ -76,8 +86,9 @@
 }
 
 // answered notes a call's time to the first byte.
-func (h *health) answered(service, id string, first time.Duration) {
+func (h *health) answered(service, id string, first time.Duration, now time.Time) {
 	s := h.get(id)
+	s.answeredAt = now
 	s.failures = 0
 	if s.first == 0 {
 		s.first = first
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -118,8 +118,8 @@
 	}
 }
 
-// choose picks the server of the next send among those that were not tried. Servers that failed lately are used only when
-// there is no other.
+// choose picks the server of the next send among those that were not tried. Servers that failed lately, or that nobody
+// hears, are used only when there is no other.
 func (x *exchange) choose() (fleet.Candidate, bool) {
 	now := time.Now()
 	r := x.relay
@@ -128,7 +128,9 @@
 	})
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	usable := slices.DeleteFunc(slices.Clone(candidates), func(c fleet.Candidate) bool { return !r.health.usable(c.ID, now) })
+	usable := slices.DeleteFunc(slices.Clone(candidates), func(c fleet.Candidate) bool {
+		return !r.health.usable(c.ID, now) || c.Quiet && !r.health.trusted(c.ID, now)
+	})
 	if len(usable) > 0 {
 		candidates = usable
 	}
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -165,7 +165,7 @@
 	r := x.relay
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.health.answered(x.service.Name, c.ID, first)
+	r.health.answered(x.service.Name, c.ID, first, time.Now())
 	if x.sent != nil {
 		r.book.Started(x.sent)
 	}
--- a/pkg/stagecall/forecast.go
+++ b/pkg/stagecall/forecast.go
@@ -75,7 +75,7 @@
 	size := max(s.filled, 1)
 	for _, v := range servers {
 		st := s.state(v.ID)
-		if !st.usable(now) {
+		if !st.usable(v, now) {
 			continue
 		}
 		f.capacity += size / (s.batch.CallTime(int(size)).Seconds() * max(st.speed(), 1))
--- a/pkg/stagecall/scheduler.go
+++ b/pkg/stagecall/scheduler.go
@@ -46,6 +46,8 @@
 	ID      string
 	Address string
 	Domain  string
+	// Quiet servers are not heard by the control VMs; they are used only while they go on answering.
+	Quiet bool
 }
 
 // Call is pieces that go to one server together.
@@ -83,6 +85,8 @@
 	// avoidFirst and avoidMost are how long a server that failed a call is avoided: doubled with each failure in a row.
 	avoidFirst = 500 * time.Millisecond
 	avoidMost  = 4 * time.Second
+	// trustFor is how long an answer shows that a server lives that the control VMs don't hear.
+	trustFor = 3 * time.Second
 	// roomlessFor is how long a server that has no room is left alone: about the time after which results are given up.
 	roomlessFor = 400 * time.Millisecond
 	// largeCrossing is the size from which it matters where a job is made: bytes that cross failure domains are priced, at
@@ -105,6 +109,8 @@
 	avoided  time.Time
 	held     int64
 	results  map[string]result
+	// answered is when it last answered a call.
+	answered time.Time
 	// roomless is until when the server is taken to have no room, after it said so.
 	roomless time.Time
 }
@@ -208,14 +214,14 @@
 	var list []ranked
 	good := 0
 	for _, v := range servers {
-		if st := s.state(v.ID); st.usable(now) && st.speed() < slowRatio {
+		if st := s.state(v.ID); st.usable(v, now) && st.speed() < slowRatio {
 			good++
 		}
 	}
 	waiting := s.Waiting()
 	for _, v := range servers {
 		st := s.state(v.ID)
-		if st.busy >= s.batch.Slots || !st.usable(now) {
+		if st.busy >= s.batch.Slots || !st.usable(v, now) {
 			continue
 		}
 		if st.speed() >= slowRatio && good > 0 && waiting <= good*s.batch.Size {
@@ -334,6 +340,7 @@
 		return
 	}
 	st.failures = 0
+	st.answered = now
 	if o.NoRoom {
 		st.roomless = now.Add(roomlessFor)
 	}
@@ -392,7 +399,9 @@
 	return st
 }
 
-func (st *serverState) usable(now time.Time) bool { return !now.Before(st.avoided) }
+func (st *serverState) usable(v Server, now time.Time) bool {
+	return !now.Before(st.avoided) && (!v.Quiet || now.Sub(st.answered) < trustFor)
+}
 
 func (st *serverState) speed() float64 {
 	if st.ratio == 0 {
--- a/pkg/stagecall/scheduler_test.go
+++ b/pkg/stagecall/scheduler_test.go
@@ -266,3 +266,14 @@
 		}
 	})
 }
+
+func TestQuietServerIsUsedOnlyWhileItAnswers(t *testing.T) {
+	s, v := NewScheduler(batch), servers(1)
+	v[0].Quiet = true
+	s.Arrive(job("a", 2, 0, time.Second, 5*time.Second), begin)
+	_, ok := s.Next(v, begin)
+	require.False(t, ok)
+	s.state("s0").answered = begin
+	_, ok = s.Next(v, begin.Add(trustFor-1))
+	require.True(t, ok)
+}
--- a/pkg/stageclient/stageclient.go
+++ b/pkg/stageclient/stageclient.go
@@ -182,7 +182,13 @@
 	c.free = make(map[string][]string)
 	c.timer = nil
 	c.mu.Unlock()
+	live := c.follower.Live()
 	for owner, handles := range all {
+		if !slices.ContainsFunc(live, func(s fleet.Source) bool { return s.Address == owner }) {
+			// Room at the servers must not wait for a control VM that is gone.
+			c.local.Free(handles)
+			continue
+		}
 		go c.sendFree(owner, handles)
 	}
 }
