--- a/internal/demo/cluster/cluster.go
+++ b/internal/demo/cluster/cluster.go
@@ -175,7 +175,7 @@
 
 // StartVM starts one VM, again after Kill or Stop.
 func (c *Cluster) StartVM(ctx context.Context, v *VM) error {
-	p, err := start(filepath.Join(c.spec.Dir, v.Name+".log"), filepath.Join(c.spec.BinDir, "daisyhatchd"), v.settings)
+	p, err := StartProcess(filepath.Join(c.spec.Dir, v.Name+".log"), filepath.Join(c.spec.BinDir, "daisyhatchd"), v.settings)
 	if err != nil {
 		return err
 	}
@@ -251,7 +251,7 @@
 			all = append(all, "--entry", "http://"+v.Callers)
 		}
 	}
-	p, err := start(filepath.Join(c.spec.Dir, name+".log"), filepath.Join(c.spec.BinDir, "standin"), append(all, args...)...)
+	p, err := StartProcess(filepath.Join(c.spec.Dir, name+".log"), filepath.Join(c.spec.BinDir, "standin"), append(all, args...)...)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/demo/cluster/process.go
+++ b/internal/demo/cluster/process.go
@@ -15,8 +15,8 @@
 	err  error
 }
 
-// start starts a program whose output goes to the end of a file.
-func start(logFile, program string, args ...string) (*Process, error) {
+// StartProcess starts a program whose output goes to the end of a file.
+func StartProcess(logFile, program string, args ...string) (*Process, error) {
 	f, err := os.OpenFile(logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, fmt.Errorf("cluster: %w", err)
