--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -234,14 +234,6 @@
 	return !out
 }
 
-// DomainOf returns the failure domain of the server at an address; empty when it is unknown.
-func (s *State) DomainOf(address string) string {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	v, _ := s.dir.ByAddress(address)
-	return v.Domain
-}
-
 // since returns the servers that changed, or were heard when heard is true, after the change count given, and the count
 // to ask with next.
 func (s *State) since(count uint64, heard bool) ([]directory.Server, uint64) {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -37,7 +37,6 @@
 	Number() uint64
 	Serving(service string, now time.Time) []fleet.Candidate
 	Allowed(server string) bool
-	DomainOf(address string) string
 	EntryNames(now time.Time) []string
 }
 
--- a/pkg/settings/fleet.go
+++ b/pkg/settings/fleet.go
@@ -21,8 +21,6 @@
 	// LossesBorne is how many control VMs may lose their disks at once (key losses-borne, default 1). The group has
 	// twice as many voters and one more.
 	LossesBorne int
-	// ShutdownGrace is the time from SIGTERM until the platform kills the process (key shutdown-grace, default 8s).
-	ShutdownGrace time.Duration
 	// RetryRatio, RetryWindow and RetryExtra bound the calls beyond the first of each request that a service gets in
 	// a window from all VMs (keys retry-ratio, retry-window, retry-extra).
 	RetryRatio  float64
@@ -36,33 +34,31 @@
 
 // Defaults of Fleet.
 const (
-	defaultLossesBorne   = 1
-	defaultShutdownGrace = 8 * time.Second
-	defaultRetryRatio    = 0.1
-	defaultRetryWindow   = 10 * time.Second
-	defaultRetryExtra    = 10
-	defaultColdOverrun   = 1
+	defaultLossesBorne = 1
+	defaultRetryRatio  = 0.1
+	defaultRetryWindow = 10 * time.Second
+	defaultRetryExtra  = 10
+	defaultColdOverrun = 1
 )
 
 func defaultFleet() Fleet {
 	return Fleet{
-		LossesBorne: defaultLossesBorne, ShutdownGrace: defaultShutdownGrace, RetryRatio: defaultRetryRatio,
+		LossesBorne: defaultLossesBorne, RetryRatio: defaultRetryRatio,
 		RetryWindow: defaultRetryWindow, RetryExtra: defaultRetryExtra, ColdOverrun: defaultColdOverrun,
 	}
 }
 
 func (f *Fleet) fields() inifile.Fields {
 	return inifile.Fields{
-		"interface":      inifile.String(&f.Interface).Must(),
-		"seeds":          inifile.Addresses(&f.Seeds),
-		"first-start":    inifile.Bool(&f.FirstStart),
-		"losses-borne":   inifile.Int(&f.LossesBorne, 0, 10),
-		"shutdown-grace": inifile.Duration(&f.ShutdownGrace, 0, maxDuration),
-		"retry-ratio":    inifile.Float(&f.RetryRatio, 0, 100),
-		"retry-window":   inifile.Duration(&f.RetryWindow, time.Second, maxDuration),
-		"retry-extra":    inifile.Int(&f.RetryExtra, 0, maxCount),
-		"cold-overrun":   inifile.Float(&f.ColdOverrun, 0, 100),
-		"cold-extra":     inifile.Int(&f.ColdExtra, 0, maxCount),
+		"interface":    inifile.String(&f.Interface).Must(),
+		"seeds":        inifile.Addresses(&f.Seeds),
+		"first-start":  inifile.Bool(&f.FirstStart),
+		"losses-borne": inifile.Int(&f.LossesBorne, 0, 10),
+		"retry-ratio":  inifile.Float(&f.RetryRatio, 0, 100),
+		"retry-window": inifile.Duration(&f.RetryWindow, time.Second, maxDuration),
+		"retry-extra":  inifile.Int(&f.RetryExtra, 0, maxCount),
+		"cold-overrun": inifile.Float(&f.ColdOverrun, 0, 100),
+		"cold-extra":   inifile.Int(&f.ColdExtra, 0, maxCount),
 	}
 }
 
--- a/pkg/stagecall/runner.go
+++ b/pkg/stagecall/runner.go
@@ -314,7 +314,7 @@
 		reason = err.Error()
 	}
 	p.runner.opts.Log.Info("stage call", "service", p.service, "server", c.Server.ID, "pieces", c.Count(),
-		"failed", o.Failed, "shed", o.Shed, "waited_ms", waited.Milliseconds(), "took_ms", now.Sub(c.Begun).Milliseconds(),
+		"failed", o.Failed, "shed", o.Shed, "no_room", o.NoRoom, "waited_ms", waited.Milliseconds(), "took_ms", now.Sub(c.Begun).Milliseconds(),
 		"expected_ms", c.Expected.Milliseconds(), "requests", requests, "reason", reason)
 }
 
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -75,9 +75,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Chunked sends an empty body in chunks instead of with a length.
+	// HasBody states the length also of an empty body.
 	HasBody bool
-	// Fresh asks for a connection that has not been idle for longer than MaxIdle; 0 takes any.
+	// MaxIdle is how long a kept connection may have been idle to be used; 0 takes any.
 	MaxIdle time.Duration
 	// Owns tells whether an answer's header belongs to this call; nil takes the first one. Others are skipped.
 	Owns func(http.Header) bool
