--- a/pkg/stagecall/scheduler.go
+++ b/pkg/stagecall/scheduler.go
@@ -92,10 +92,8 @@
 	// largeCrossing is the size from which it matters where a job is made: bytes that cross failure domains are priced, at
 	// some hundredths of a usual request's worth from here on.
 	largeCrossing = 300_000
-	// remoteWait is how long a job waits for a server where it is wanted.
-	remoteWait = 300 * time.Millisecond
-	// remoteSlack is the time to spare from which a job may wait for such a server.
-	remoteSlack = 100 * time.Millisecond
+	// remoteWait is how long a job that is on time waits for a server where it is wanted: about a call.
+	remoteWait = 400 * time.Millisecond
 	// priorityStep is how much earlier a target a less urgent job needs to go before a more urgent one: half of a usual call.
 	priorityStep = 150 * time.Millisecond
 	// roomMargin is the share of a server's room that is used; sizes are approximate.
@@ -290,7 +288,7 @@
 	if j.CrossingBytes < largeCrossing {
 		return true
 	}
-	spare := s.onTime(j, now.Add(remoteSlack)) && now.Sub(j.Arrived) < remoteWait
+	spare := s.onTime(j, now) && now.Sub(j.Arrived) < remoteWait
 	return j.Domain == "" || j.Domain == v.Domain || !spare
 }
 
