Relay: a request that may have run is not refused for its stages; a send is ended once in the books

Cause, read in the code: a resumable stream that had run at one server and found its inputs gone at the next was answered 503, which says that it had not run, when its stages could not be run anew; a caller that left between a stream's head and its first event left its run on the server's account for good.

--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -187,6 +187,8 @@
 	// tried are the servers that were sent the request, in order.
 	tried []string
 	ran   int
+	// onServer is true from a send to its end in the books.
+	onServer bool
 	// lastEvent is the id of the last event delivered.
 	lastEvent string
 	started   bool
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -32,6 +32,7 @@
 		res := x.send(server)
 		if x.leftByCaller() {
 			res.close()
+			x.ended(server, false, false)
 			break
 		}
 		s := x.situation(res, sends)
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -154,6 +154,7 @@
 	r := x.relay
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	x.onServer = true
 	if x.service.Engine != nil {
 		x.sent = r.book.Send(x.call.Prompt, c.ID, now)
 	} else {
@@ -171,10 +172,15 @@
 	}
 }
 
+// ended may be called again for one send; only the first call counts.
 func (x *exchange) ended(c fleet.Candidate, failed, lost bool) {
 	r := x.relay
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !x.onServer {
+		return
+	}
+	x.onServer = false
 	if failed {
 		r.health.failed(c.ID, time.Now())
 	}
--- a/pkg/relay/stages.go
+++ b/pkg/relay/stages.go
@@ -323,11 +323,16 @@
 	}
 }
 
-// stagesFailed answers a request whose stages were not done; the request itself has not run.
+// stagesFailed answers a request whose stages were not done. The request itself has not run, unless its stages were run
+// anew after a send that may have.
 func (x *exchange) stagesFailed(err error) {
 	if x.leftByCaller() {
 		return
 	}
+	if x.ran > 0 {
+		x.fail(x.failStatus(), "the stages could not be run again: "+err.Error())
+		return
+	}
 	var refused *StageRefused
 	if errors.As(err, &refused) {
 		x.refuse(http.StatusServiceUnavailable, max(refused.RetryAfter, leastRetry), refused.Error())
