Replica: the test of a full disk says whose disk it is

Change: the test covers a follower's and the leader's disk apart, and compares the whole state machines; the bounds are as they were.

--- a/pkg/replica/node_mem_test.go
+++ b/pkg/replica/node_mem_test.go
@@ -456,19 +456,41 @@
 }
 
 func TestDiskThatWasFullIsUsedAgainWithoutARestart(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := newMemGroup(t, 3, Options{})
-		g.leader()
-		m := g.members[0]
-		g.propose(m, 10)
-		require.NoError(t, m.node.call(t.Context(), func() error { m.fs.Room = 3; return nil }))
-		g.propose(g.members[1], 5)
-		time.Sleep(2 * time.Second)
-		require.True(t, m.node.Status().StorageFailed)
-		require.NoError(t, m.node.call(t.Context(), func() error { m.fs.Room = -1; return nil }))
-		time.Sleep(2 * time.Second)
-		require.False(t, m.node.Status().StorageFailed)
-		require.NoError(t, m.node.ReadBarrier(t.Context()))
-		require.Len(t, m.sm.commands(), 15)
-	})
+	for _, leads := range []bool{false, true} {
+		t.Run(fmt.Sprintf("leader %v", leads), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { fullDisk(t, leads) })
+		})
+	}
+}
+
+// fullDisk fills the disk of the leader, or of a follower, and gives it room again.
+func fullDisk(t *testing.T, leads bool) {
+	g := newMemGroup(t, 3, Options{})
+	m := g.leader()
+	other := g.members[0]
+	for _, x := range g.members {
+		if x != m {
+			other = x
+		}
+	}
+	if !leads {
+		m, other = other, m
+	}
+	g.propose(m, 10)
+	require.NoError(t, m.node.call(t.Context(), func() error { m.fs.Room = 3; return nil }))
+	if leads {
+		_, err := m.node.Propose(t.Context(), []byte("lost"))
+		require.ErrorIs(t, err, ErrUnknownOutcome)
+		time.Sleep(3 * time.Second)
+	}
+	before := len(other.sm.commands())
+	g.propose(other, 5)
+	time.Sleep(2 * time.Second)
+	require.True(t, m.node.Status().StorageFailed)
+	require.NoError(t, m.node.call(t.Context(), func() error { m.fs.Room = -1; return nil }))
+	time.Sleep(2 * time.Second)
+	require.False(t, m.node.Status().StorageFailed)
+	require.NoError(t, m.node.ReadBarrier(t.Context()))
+	require.Len(t, m.sm.commands(), before+5)
+	require.Equal(t, other.sm.commands(), m.sm.commands())
 }
