Stage calls: inputs are given up as soon as the stage behind has read them

Cause: results of the middle stages lay at their server until the call behind them had ended, about 0.9 to 1.0 s from the begin of their own call.

Ruled out: too few servers (their time was taken to 70 %), calls formed apart (one VM formed them all).

Change: a stage server reads its inputs when its call's turn comes. The VM that forms the calls tells 100 ms after all pieces of a job are being worked on (StageRun is a stream now), and the entry VM gives the inputs up then. A piece that is sent again after that finds its inputs gone, and the stages are run anew as before.

--- a/gen/daisyhatch/v1/daisyhatchv1connect/fleet.connect.go
+++ b/gen/daisyhatch/v1/daisyhatchv1connect/fleet.connect.go
@@ -52,7 +52,7 @@
 	Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error)
 	Follow(context.Context, *connect.Request[v1.FollowRequest]) (*connect.ServerStreamForClient[v1.FollowResponse], error)
 	Relay(context.Context, *connect.Request[v1.RelayRequest]) (*connect.Response[v1.RelayResponse], error)
-	StageRun(context.Context, *connect.Request[v1.StageRunRequest]) (*connect.Response[v1.StageRunResponse], error)
+	StageRun(context.Context, *connect.Request[v1.StageRunRequest]) (*connect.ServerStreamForClient[v1.StageRunResponse], error)
 	StageFree(context.Context, *connect.Request[v1.StageFreeRequest]) (*connect.Response[v1.StageFreeResponse], error)
 }
 
@@ -125,8 +125,8 @@
 }
 
 // StageRun calls daisyhatch.v1.FleetService.StageRun.
-func (c *fleetServiceClient) StageRun(ctx context.Context, req *connect.Request[v1.StageRunRequest]) (*connect.Response[v1.StageRunResponse], error) {
-	return c.stageRun.CallUnary(ctx, req)
+func (c *fleetServiceClient) StageRun(ctx context.Context, req *connect.Request[v1.StageRunRequest]) (*connect.ServerStreamForClient[v1.StageRunResponse], error) {
+	return c.stageRun.CallServerStream(ctx, req)
 }
 
 // StageFree calls daisyhatch.v1.FleetService.StageFree.
@@ -139,7 +139,7 @@
 	Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error)
 	Follow(context.Context, *connect.Request[v1.FollowRequest], *connect.ServerStream[v1.FollowResponse]) error
 	Relay(context.Context, *connect.Request[v1.RelayRequest]) (*connect.Response[v1.RelayResponse], error)
-	StageRun(context.Context, *connect.Request[v1.StageRunRequest]) (*connect.Response[v1.StageRunResponse], error)
+	StageRun(context.Context, *connect.Request[v1.StageRunRequest], *connect.ServerStream[v1.StageRunResponse]) error
 	StageFree(context.Context, *connect.Request[v1.StageFreeRequest]) (*connect.Response[v1.StageFreeResponse], error)
 }
 
@@ -168,7 +168,7 @@
 		connect.WithSchema(fleetServiceMethods.ByName("Relay")),
 		connect.WithHandlerOptions(opts...),
 	)
-	fleetServiceStageRunHandler := connect.NewUnaryHandler(
+	fleetServiceStageRunHandler := connect.NewServerStreamHandler(
 		FleetServiceStageRunProcedure,
 		svc.StageRun,
 		connect.WithSchema(fleetServiceMethods.ByName("StageRun")),
@@ -213,8 +213,8 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("daisyhatch.v1.FleetService.Relay is not implemented"))
 }
 
-func (UnimplementedFleetServiceHandler) StageRun(context.Context, *connect.Request[v1.StageRunRequest]) (*connect.Response[v1.StageRunResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("daisyhatch.v1.FleetService.StageRun is not implemented"))
+func (UnimplementedFleetServiceHandler) StageRun(context.Context, *connect.Request[v1.StageRunRequest], *connect.ServerStream[v1.StageRunResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("daisyhatch.v1.FleetService.StageRun is not implemented"))
 }
 
 func (UnimplementedFleetServiceHandler) StageFree(context.Context, *connect.Request[v1.StageFreeRequest]) (*connect.Response[v1.StageFreeResponse], error) {
--- a/pkg/fleet/control.go
+++ b/pkg/fleet/control.go
@@ -100,7 +100,8 @@
 
 // StageRunner runs stage calls for other VMs.
 type StageRunner interface {
-	Run(ctx context.Context, r *daisyhatchv1.StageRunRequest) (*daisyhatchv1.StageRunResponse, error)
+	// Run returns the results; inputsRead is called at most once before that, when nothing reads the inputs any more.
+	Run(ctx context.Context, r *daisyhatchv1.StageRunRequest, inputsRead func()) (*daisyhatchv1.StageRunResponse, error)
 	Free(handles []string)
 }
 
@@ -442,12 +443,31 @@
 // StageRun implements FleetService.
 func (c *Control) StageRun(
 	ctx context.Context, req *connect.Request[daisyhatchv1.StageRunRequest],
-) (*connect.Response[daisyhatchv1.StageRunResponse], error) {
-	res, err := c.stages.Run(ctx, req.Msg)
-	if err != nil {
-		return nil, connect.NewError(connect.CodeUnavailable, err)
+	stream *connect.ServerStream[daisyhatchv1.StageRunResponse],
+) error {
+	type end struct {
+		res *daisyhatchv1.StageRunResponse
+		err error
+	}
+	read, ended := make(chan struct{}), make(chan end, 1)
+	go func() {
+		res, err := c.stages.Run(ctx, req.Msg, func() { close(read) })
+		ended <- end{res, err}
+	}()
+	for {
+		select {
+		case <-read:
+			read = nil
+			if err := stream.Send(&daisyhatchv1.StageRunResponse{InputsRead: true}); err != nil {
+				return err
+			}
+		case e := <-ended:
+			if e.err != nil {
+				return connect.NewError(connect.CodeUnavailable, e.err)
+			}
+			return stream.Send(e.res)
+		}
 	}
-	return connect.NewResponse(res), nil
 }
 
 // StageFree implements FleetService.
--- a/pkg/relay/stages.go
+++ b/pkg/relay/stages.go
@@ -33,6 +33,9 @@
 	Domain string
 	// CrossingBytes is about what crosses failure domains when the pieces are made elsewhere.
 	CrossingBytes int
+	// InputsRead, unless nil, is called at most once before the results come, when nothing reads Inputs any more unless a
+	// call fails.
+	InputsRead func()
 }
 
 // StageResult is one piece's result.
@@ -59,11 +62,12 @@
 // leastRetry is the shortest time after which a refused caller may come back.
 const leastRetry = 200 * time.Millisecond
 
-// stageEnd is how a stage ended.
+// stageEnd is how a stage ended, or the news that it has read its inputs.
 type stageEnd struct {
-	stage   int
-	results []StageResult
-	err     error
+	stage      int
+	inputsRead bool
+	results    []StageResult
+	err        error
 }
 
 // maxChains is how often the stages of one request are run: results are lost with their server, which is seldom lost
@@ -110,10 +114,11 @@
 	stages := x.route.Stages
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
-	ends := make(chan stageEnd, len(stages))
+	// Each stage sends at most two messages.
+	ends := make(chan stageEnd, 2*len(stages))
 	done := make([][]StageResult, len(stages))
 	begun := make([]bool, len(stages))
-	finished := make([]bool, len(stages))
+	finished, read := make([]bool, len(stages)), make([]bool, len(stages))
 	running := 0
 	x.expires = make([]time.Time, len(stages))
 	var failed error
@@ -125,6 +130,11 @@
 			break
 		}
 		e := <-ends
+		read[e.stage] = true
+		if e.inputsRead {
+			x.freeUsed(read, done)
+			continue
+		}
 		running--
 		finished[e.stage] = true
 		done[e.stage] = e.results
@@ -134,7 +144,7 @@
 			failed = e.err
 			cancel()
 		}
-		x.freeUsed(finished, done)
+		x.freeUsed(read, done)
 	}
 	if failed != nil {
 		for _, d := range done {
@@ -167,6 +177,7 @@
 			q.Inputs = append(q.Inputs, handles(done[a])...)
 			q.Deadline = earlier(q.Deadline, x.expires[a])
 		}
+		q.InputsRead = func() { ends <- stageEnd{stage: i, inputsRead: true} }
 		n++
 		go func() {
 			results, err := x.relay.opts.Stages.Run(ctx, q)
@@ -272,14 +283,14 @@
 // time since the call that made them ended.
 const expiryMargin = 200 * time.Millisecond
 
-// freeUsed gives up the results of stages that every stage behind them has used; those that the request itself needs
+// freeUsed gives up the results of stages that every stage behind them has read; those that the request itself needs
 // stay.
-func (x *exchange) freeUsed(finished []bool, done [][]StageResult) {
+func (x *exchange) freeUsed(read []bool, done [][]StageResult) {
 	for i := range done {
 		needed := len(done[i]) == 0 || x.isLeaf(i)
 		for k, st := range x.route.Stages {
 			for _, a := range st.After {
-				needed = needed || a == i && !finished[k]
+				needed = needed || a == i && !read[k] && pieces(x.call.Pieces, k) > 0
 			}
 		}
 		if !needed {
--- a/pkg/stagecall/runner.go
+++ b/pkg/stagecall/runner.go
@@ -33,6 +33,9 @@
 	// get from all VMs.
 	retryShare   = 0.1
 	retryReserve = 1.0
+	// inputReadTime is when a call that is being worked on has read its inputs: a full call reads about 23 MB at 10 Gbit/s,
+	// 18 ms, and shares the links with others.
+	inputReadTime = 100 * time.Millisecond
 	// freeInterval is how long results that were given up are gathered for one call.
 	freeInterval = 30 * time.Millisecond
 	// freeTimeout bounds such a call; a result that stays is released by its server after a time.
@@ -90,6 +93,10 @@
 	left    int
 	done    chan struct{}
 	closed  bool
+	// unread counts the pieces whose inputs may still be read; inputsRead is told when there are none, nil when nobody
+	// wants to know.
+	unread     int
+	inputsRead func()
 }
 
 func (r *Runner) pool(service string) (*pool, error) {
@@ -115,14 +122,18 @@
 }
 
 // Run runs the pieces of one stage of one request and returns their results in order. It refuses at once what can't be
-// done before the deadline.
-func (r *Runner) Run(ctx context.Context, q *daisyhatchv1.StageRunRequest) (*daisyhatchv1.StageRunResponse, error) {
+// done before the deadline. inputsRead may be nil; it is called at most once before Run returns, when all pieces have
+// been worked on for inputReadTime.
+func (r *Runner) Run(
+	ctx context.Context, q *daisyhatchv1.StageRunRequest, inputsRead func(),
+) (*daisyhatchv1.StageRunResponse, error) {
 	p, err := r.pool(q.GetService())
 	if err != nil {
 		return nil, err
 	}
 	now := time.Now()
-	w := &waiter{job: newJob(q, now), left: len(q.GetPieces()), done: make(chan struct{})}
+	w := &waiter{job: newJob(q, now), left: len(q.GetPieces()), done: make(chan struct{}), inputsRead: inputsRead}
+	w.unread = w.left
 	w.results = make([]dialect.PieceResult, w.left)
 	w.domains = make([]string, w.left)
 	if w.left == 0 {
@@ -245,7 +256,9 @@
 
 // call makes one call and hands its results out.
 func (p *pool) call(c *Call) {
+	reading := time.AfterFunc(inputReadTime, func() { p.inputsRead(c) })
 	results, err := p.send(c)
+	reading.Stop()
 	now := time.Now()
 	p.mu.Lock()
 	o := Outcome{Failed: err != nil}
@@ -268,7 +281,7 @@
 				unwanted = append(unwanted, r.Handle)
 			}
 			handles = append(handles, r.Handle)
-			p.take(part.Job, piece, r, c.Server, o.Shed, now)
+			p.take(part.Job, piece, r, c, o.Shed, now)
 		}
 		o.Handles = append(o.Handles, handles)
 	}
@@ -279,11 +292,26 @@
 	p.dispatch()
 }
 
+// inputsRead notes that a call which has not ended has read its inputs.
+func (p *pool) inputsRead(c *Call) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.inputsRead = true
+	for _, part := range c.Parts {
+		w := part.Job.owner
+		w.unread -= len(part.Pieces)
+		if w.unread == 0 && !w.closed && w.inputsRead != nil {
+			w.inputsRead()
+			w.inputsRead = nil
+		}
+	}
+}
+
 // take handles one piece's result: a piece without one is sent again while that may help.
-func (p *pool) take(j *Job, piece Piece, r dialect.PieceResult, v Server, shed bool, now time.Time) {
+func (p *pool) take(j *Job, piece Piece, r dialect.PieceResult, c *Call, shed bool, now time.Time) {
 	w := j.owner
 	if r.Handle != "" {
-		w.settle(piece, r, v.Domain)
+		w.settle(piece, r, c.Server.Domain)
 		return
 	}
 	if r.Reason != dialect.ReasonRoom {
@@ -296,6 +324,9 @@
 			p.sched.Add(j)
 		}
 		j.Pieces = append(j.Pieces, piece)
+		if c.inputsRead {
+			w.unread++
+		}
 		return
 	}
 	w.settle(piece, r, "")
--- a/pkg/stagecall/scheduler.go
+++ b/pkg/stagecall/scheduler.go
@@ -57,6 +57,8 @@
 	Begun  time.Time
 	// Expected is how long the call takes on a usual server.
 	Expected time.Duration
+	// inputsRead is true once the pieces were worked on for inputReadTime. The pool's lock guards it.
+	inputsRead bool
 }
 
 // CallPart is the pieces of one job within a call.
--- a/pkg/stageclient/stageclient.go
+++ b/pkg/stageclient/stageclient.go
@@ -73,7 +73,7 @@
 		c.log.Info("stage goes to another VM", "request", q.Request, "service", q.Service, "from", owner.Address,
 			"reason", err.Error())
 	}
-	res, err := c.local.Run(ctx, request(q))
+	res, err := c.local.Run(ctx, request(q), q.InputsRead)
 	if err != nil {
 		return nil, fmt.Errorf("stageclient: %w", err)
 	}
@@ -110,13 +110,28 @@
 		}
 	}()
 	client := daisyhatchv1connect.NewFleetServiceClient(c.http, "http://"+o.Address)
-	res, err := client.StageRun(ctx, connect.NewRequest(request(q)))
+	stream, err := client.StageRun(ctx, connect.NewRequest(request(q)))
 	if err != nil {
 		return nil, fmt.Errorf("stageclient: stage call: %w", errors.Join(context.Cause(ctx), err))
 	}
-	return c.results(res.Msg, o.Address)
+	defer func() {
+		// The stream is over or given up; an error of the close says nothing more.
+		_ = stream.Close()
+	}()
+	for stream.Receive() {
+		if !stream.Msg().GetInputsRead() {
+			return c.results(stream.Msg(), o.Address)
+		}
+		if q.InputsRead != nil {
+			q.InputsRead()
+		}
+	}
+	return nil, fmt.Errorf("stageclient: stage call: %w", errors.Join(context.Cause(ctx), stream.Err(), errNoResults))
 }
 
+// errNoResults ends a stage call whose answer held no results.
+var errNoResults = errors.New("stageclient: the answer ended without results")
+
 // request describes a stage by the time left, since VMs don't share a clock.
 func request(q relay.StageRequest) *daisyhatchv1.StageRunRequest {
 	now := time.Now()
