Stage calls: a VM that takes a service's calls over asks its servers for their room

Cause: only the VM that forms a service's calls knows which results lie at its servers. Since inputs are given up early, such a piece runs its whole chain again.

Ruled out: room that is not given up in time (no piece without room while one VM formed the calls).

Change: before the first call to a server within 2 s it is asked for its free room (a whole number of MB, so small rooms stay unknown), and again every 400 ms while it holds results of others. A server without room is left alone for 50 ms, not 400.

--- a/pkg/dialect/dialect.go
+++ b/pkg/dialect/dialect.go
@@ -40,6 +40,10 @@
 	StageResults(body []byte) ([]PieceResult, error)
 	// StageFree returns the call that gives results up.
 	StageFree(handles []string) (method, path string, body []byte, err error)
+	// StageReport returns the method and path of the question to a stage server for its state.
+	StageReport() (method, path string)
+	// StageRoom reads the answer. Errors: ErrFormat.
+	StageRoom(body []byte) (Room, error)
 	// TargetHeader returns the header of a call to one server, which other servers at its address refuse.
 	TargetHeader(server string, remaining time.Duration) http.Header
 	// Operators adds the operators' and backend servers' calls.
@@ -141,6 +145,9 @@
 	ReasonError = "error"
 )
 
+// Room is the room in bytes that is free for results at a stage server: a range, since the server rounds it.
+type Room struct{ Least, Most int64 }
+
 // PieceResult is the result of one piece: a handle or a reason.
 type PieceResult struct {
 	Handle string
--- /dev/null
+++ b/pkg/stagecall/room.go
@@ -0,0 +1,73 @@
+package stagecall
+
+import (
+	"time"
+
+	"github.com/daisyhatch/daisyhatch/pkg/dialect"
+)
+
+// The room for results at a server is what limits a pool at times, and only the VM that has its calls made knows who
+// holds how much of it. A VM that takes a service's calls over asks the servers first: they would work on calls whose
+// results they have no room for.
+const (
+	// roomStale is how long after its last call a server's room counts as known: another VM may have used it since.
+	roomStale = 2 * time.Second
+	// roomPatience is how long a server is left alone until it answers; it lies milliseconds away.
+	roomPatience = 300 * time.Millisecond
+	// foreignInterval is how often a server is asked while it holds results of other VMs' calls: about a call's time.
+	foreignInterval = 400 * time.Millisecond
+)
+
+// Unasked returns the servers that must be asked for their room now, and notes that they are asked.
+func (s *Scheduler) Unasked(servers []Server, now time.Time) []Server {
+	if len(s.jobs) == 0 {
+		return nil
+	}
+	var out []Server
+	for _, v := range servers {
+		st := s.state(v.ID)
+		if !st.usable(v, now) || now.Sub(st.asked) < roomPatience {
+			continue
+		}
+		if st.roomKnown(now) && (st.foreign == 0 || now.Sub(st.learned) < foreignInterval) {
+			continue
+		}
+		st.asked = now
+		out = append(out, v)
+	}
+	return out
+}
+
+// Learned takes over what a server says of its free room. It returns the bytes that results of other VMs' calls take
+// there: at least.
+func (s *Scheduler) Learned(server string, free dialect.Room, now time.Time) int64 {
+	st := s.state(server)
+	st.forget(now, s.batch.ResultTTL)
+	st.foreign = max(0, s.batch.ResultBytes-free.Most-st.held)
+	st.learned, st.used, st.asked = now, now, time.Time{}
+	if free.Least > 0 {
+		st.roomless = time.Time{}
+	}
+	return st.foreign
+}
+
+// full notes that a server had no room for a result. It is asked again.
+func (st *serverState) full(now time.Time) {
+	st.roomless = now.Add(roomlessFor)
+	st.used = time.Time{}
+}
+
+// roomKnown reports whether this VM made the latest calls to the server, or has asked it since.
+func (st *serverState) roomKnown(now time.Time) bool {
+	return st.busy > 0 || now.Sub(st.used) < roomStale
+}
+
+// asking reports whether a server's answer must be waited for before it gets a call.
+func (st *serverState) asking(now time.Time) bool {
+	return !st.roomKnown(now) && now.Sub(st.asked) < roomPatience
+}
+
+// room returns the bytes that new results may take at a server.
+func (s *Scheduler) room(st *serverState) int64 {
+	return int64(float64(s.batch.ResultBytes)*roomMargin) - st.held - st.foreign
+}
--- a/pkg/stagecall/runner.go
+++ b/pkg/stagecall/runner.go
@@ -225,6 +225,9 @@
 		}
 	}
 	p.sched.Retain(servers)
+	for _, v := range p.sched.Unasked(servers, now) {
+		go p.ask(v)
+	}
 	for {
 		c, ok := p.sched.Next(servers, now)
 		if !ok {
@@ -241,6 +244,46 @@
 	}
 }
 
+// ask asks a server for its free room.
+func (p *pool) ask(v Server) {
+	free, err := p.runner.askRoom(v)
+	now := time.Now()
+	if err != nil {
+		p.runner.opts.Log.Info("server did not tell its room", "service", p.service, "server", v.ID, "reason", err.Error())
+		return
+	}
+	p.mu.Lock()
+	foreign := p.sched.Learned(v.ID, free, now)
+	p.mu.Unlock()
+	if foreign > 0 {
+		p.runner.opts.Log.Info("server holds results of other VMs' calls", "service", p.service, "server", v.ID,
+			"bytes", foreign, "free_bytes", free.Least)
+	}
+	p.dispatch()
+}
+
+func (r *Runner) askRoom(v Server) (dialect.Room, error) {
+	d := r.opts.Dialect
+	ctx, cancel := context.WithTimeout(context.Background(), roomPatience)
+	defer cancel()
+	method, path := d.StageReport()
+	a, err := r.opts.Pool.Do(ctx, upstream.Call{
+		Address: v.Address, Method: method, Target: path, Host: v.Address, Header: d.TargetHeader(v.ID, roomPatience),
+	})
+	if err != nil {
+		return dialect.Room{}, err
+	}
+	defer func() {
+		// Closing only returns or drops the connection.
+		_ = a.Body.Close()
+	}()
+	answer, err := io.ReadAll(io.LimitReader(a.Body, maxAnswer))
+	if err != nil {
+		return dialect.Room{}, err
+	}
+	return d.StageRoom(answer)
+}
+
 // settle notes a piece's end; the pool's lock is held.
 func (w *waiter) settle(piece Piece, r dialect.PieceResult, domain string) {
 	i := piece.Index
--- a/pkg/stagecall/scheduler.go
+++ b/pkg/stagecall/scheduler.go
@@ -89,8 +89,9 @@
 	avoidMost  = 4 * time.Second
 	// trustFor is how long an answer shows that a server lives that the control VMs don't hear.
 	trustFor = 3 * time.Second
-	// roomlessFor is how long a server that has no room is left alone: about the time after which results are given up.
-	roomlessFor = 400 * time.Millisecond
+	// roomlessFor is how long a server that has no room is left alone unless it says that it has some: results are given
+	// up one by one, a call for each request that ends.
+	roomlessFor = 50 * time.Millisecond
 	// largeCrossing is the size from which it matters where a job is made: bytes that cross failure domains are priced, at
 	// some hundredths of a usual request's worth from here on.
 	largeCrossing = 300_000
@@ -115,6 +116,12 @@
 	answered time.Time
 	// roomless is until when the server is taken to have no room, after it said so.
 	roomless time.Time
+	// foreign is the room in bytes that results of other VMs' calls took when the server told, at learned; used is when
+	// it told or a call of this VM last began or ended there, asked when it was asked and has not answered.
+	foreign int64
+	learned time.Time
+	used    time.Time
+	asked   time.Time
 }
 
 type result struct {
@@ -170,7 +177,9 @@
 		if len(c.Parts) == 0 {
 			continue
 		}
-		s.state(v.ID).busy++
+		st := s.state(v.ID)
+		st.busy++
+		st.used = now
 		c.Begun = now
 		c.Expected = s.batch.CallTime(c.Count())
 		if len(s.jobs) > 0 {
@@ -223,7 +232,7 @@
 	waiting := s.Waiting()
 	for _, v := range servers {
 		st := s.state(v.ID)
-		if st.busy >= s.batch.Slots || !st.usable(v, now) {
+		if st.busy >= s.batch.Slots || !st.usable(v, now) || st.asking(now) {
 			continue
 		}
 		if st.speed() >= slowRatio && good > 0 && waiting <= good*s.batch.Size {
@@ -257,9 +266,9 @@
 func (s *Scheduler) fill(v Server, now time.Time) Call {
 	c := Call{Server: v}
 	st := s.state(v.ID)
-	st.forget(now)
+	st.forget(now, s.batch.ResultTTL)
 	left := s.batch.Size
-	room := int64(float64(s.batch.ResultBytes)*roomMargin) - st.held
+	room := s.room(st)
 	kept := s.jobs[:0]
 	for _, j := range s.jobs {
 		n := 0
@@ -322,6 +331,7 @@
 func (s *Scheduler) Done(c *Call, o Outcome, now time.Time) {
 	st := s.state(c.Server.ID)
 	st.busy--
+	st.used = now
 	for i, p := range c.Parts {
 		for k := range p.Pieces {
 			handle := ""
@@ -344,7 +354,7 @@
 	st.failures = 0
 	st.answered = now
 	if o.NoRoom {
-		st.roomless = now.Add(roomlessFor)
+		st.full(now)
 	}
 	ratio := float64(now.Sub(c.Begun)) / float64(max(c.Expected, time.Millisecond))
 	if st.ratio == 0 {
@@ -412,8 +422,11 @@
 	return st.ratio
 }
 
-// forget releases the room of results that have expired.
-func (st *serverState) forget(now time.Time) {
+// forget releases the room of results that have expired, those of other VMs' calls included; ttl is how long they last.
+func (st *serverState) forget(now time.Time, ttl time.Duration) {
+	if now.Sub(st.learned) > ttl {
+		st.foreign = 0
+	}
 	for h, r := range st.results {
 		if now.After(r.until) {
 			st.held -= r.bytes
--- a/pkg/stagecall/scheduler_test.go
+++ b/pkg/stagecall/scheduler_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/daisyhatch/daisyhatch/pkg/catalog"
+	"github.com/daisyhatch/daisyhatch/pkg/dialect"
 )
 
 var (
@@ -277,3 +278,45 @@
 	_, ok = s.Next(v, begin.Add(trustFor-1))
 	require.True(t, ok)
 }
+
+// A VM that takes a service's calls over knows nothing of the results that lie at its servers.
+func TestRoomIsAskedForBeforeTheFirstCall(t *testing.T) {
+	s, v := NewScheduler(batch), servers(1)
+	j := job("a", 8, 0, time.Second, 5*time.Second)
+	j.ResultBytes = 2_000_000
+	s.Arrive(j, begin)
+	require.Equal(t, v, s.Unasked(v, begin))
+	require.Empty(t, s.Unasked(v, begin), "it is asked already")
+	_, ok := s.Next(v, begin)
+	require.False(t, ok, "its room is not known yet")
+	require.EqualValues(t, 14_000_000, s.Learned("s0", dialect.Room{Least: 3_000_001, Most: 4_000_000}, begin))
+	_, ok = s.Next(v, begin)
+	require.False(t, ok, "a job of eight results of 2 MB does not fit")
+	again := begin.Add(foreignInterval)
+	require.Equal(t, v, s.Unasked(v, again))
+	require.Zero(t, s.Learned("s0", dialect.Room{Least: 18_000_000, Most: 18_000_000}, again))
+	c, ok := s.Next(v, again)
+	require.True(t, ok)
+	require.Equal(t, 8, c.Count())
+	require.Empty(t, s.Unasked(v, again.Add(time.Minute)), "this VM made the latest call")
+}
+
+func TestServerThatDoesNotTellItsRoomIsUsedAfterAWhile(t *testing.T) {
+	s, v := NewScheduler(batch), servers(1)
+	s.Arrive(job("a", 1, 0, time.Second, 5*time.Second), begin)
+	require.Len(t, s.Unasked(v, begin), 1)
+	_, ok := s.Next(v, begin.Add(roomPatience))
+	require.True(t, ok)
+}
+
+func TestServerThatHadNoRoomIsAskedAgain(t *testing.T) {
+	s, v := NewScheduler(batch), servers(1)
+	s.Arrive(job("a", 1, 0, time.Second, 5*time.Second), begin)
+	c, _ := s.Next(v, begin)
+	s.Done(&c, Outcome{NoRoom: true}, begin)
+	s.Add(job("b", 1, 0, time.Second, 5*time.Second))
+	require.Len(t, s.Unasked(v, begin), 1)
+	s.Learned("s0", dialect.Room{Least: 18_000_000, Most: 18_000_000}, begin)
+	_, ok := s.Next(v, begin)
+	require.True(t, ok, "it has room again")
+}
