Relay: inputs of a request are given up while its server works, streams go on with new ones

Cause: the results that a request itself needs lay at their stage server until the first event came, 300 to 400 ms longer than the server needed them.

Change: inputs are given up 100 ms after the request was sent. A request that is sent again after that has its stages run again first, streams in the middle too.

--- a/pkg/relay/decide.go
+++ b/pkg/relay/decide.go
@@ -55,6 +55,8 @@
 	left      time.Duration
 	// restage is true when there is time to run the stages anew.
 	restage bool
+	// inputsGone is true when the stages must run anew before the request can be sent again.
+	inputsGone bool
 	// others is how many servers there are that have not been tried.
 	others int
 	// allowed asks the budget of repeats; it takes one.
@@ -72,7 +74,7 @@
 // may have run only when its route is repeatable and allows another server. A repeat needs time, a server that has not
 // been tried, and a place in the budget that all VMs share.
 func next(s situation) step {
-	mayRepeat := s.left >= leastLeft && s.others > 0 && s.sends < maxSends
+	mayRepeat := s.left >= leastLeft && s.others > 0 && s.sends < maxSends && (!s.inputsGone || s.restage)
 	switch s.ending {
 	case endedWell:
 		return stepDeliver
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -175,7 +175,7 @@
 	call         dialect.Call
 	body         []byte
 
-	inputs []string
+	inputs *stageInputs
 	// expires is when the results of each stage are gone.
 	expires []time.Time
 	inputMB map[string]float64
@@ -193,7 +193,6 @@
 	lastEvent string
 	started   bool
 	abort     bool
-	freed     bool
 
 	status  int
 	outcome string
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -23,6 +23,9 @@
 	x.relay.opts.Repeats.Request(x.service.Name, x.begin)
 	sends := 0
 	for {
+		if x.inputs.gone() && !x.runStages() {
+			return
+		}
 		server, ok := x.choose()
 		if !ok {
 			x.noServer()
@@ -39,7 +42,7 @@
 		switch next(s) {
 		case stepDeliver:
 			if x.deliver(res, server) {
-				x.freeInputs()
+				x.inputs.giveUp()
 				return
 			}
 			continue
@@ -66,7 +69,7 @@
 		}
 		break
 	}
-	x.freeInputs()
+	x.inputs.giveUp()
 }
 
 // leftByCaller reports whether the caller has gone, and notes it.
@@ -112,7 +115,7 @@
 	}
 	return situation{
 		ending: res.ending, route: x.route, runs: x.ran, sends: sends, delivered: x.started,
-		left: x.deadline.Sub(now), others: others, restage: x.mayRunChain(),
+		left: x.deadline.Sub(now), others: others, restage: x.mayRunChain(), inputsGone: x.inputs.gone(),
 		allowed: func() bool {
 			return x.relay.opts.Repeats.Allow(x.service.Name, len(x.relay.opts.Knowledge.EntryNames(now)), now)
 		},
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -19,6 +19,8 @@
 	// wholeBody is the largest answer that is read to its end before it is delivered, so that one that ends early can be
 	// asked for again.
 	wholeBody = 1 << 20
+	// inputReadTime is when a server has read the inputs of a request that was sent to it.
+	inputReadTime = 100 * time.Millisecond
 	// freshFor is how long a connection may have been idle for a request that may not be repeated: a server that closes
 	// it meanwhile leaves open whether the request ran.
 	freshFor = 800 * time.Millisecond
@@ -60,7 +62,7 @@
 		Address: c.Address, Method: x.req.Method, Target: x.req.RequestURI, Host: x.req.Host, Body: x.body,
 		HasBody: x.req.ContentLength != 0 || len(x.req.TransferEncoding) > 0,
 		Header: r.opts.Dialect.Outgoing(x.req.Header, dialect.Attempt{
-			Server: c.ID, Remaining: x.deadline.Sub(begun), Organisation: x.organisation, Inputs: x.inputs,
+			Server: c.ID, Remaining: x.deadline.Sub(begun), Organisation: x.organisation, Inputs: x.inputs.list(),
 			ResumeAfter: x.lastEvent, Urgency: urgency(x.priority),
 		}),
 		Owns: func(h http.Header) bool {
@@ -77,7 +79,9 @@
 	if !x.route.Repeatable() {
 		call.MaxIdle = freshFor
 	}
+	reading := time.AfterFunc(inputReadTime, x.inputs.giveUp)
 	a, err := r.opts.Pool.Do(x.ctx, call)
+	reading.Stop()
 	res := &sendResult{begun: begun, err: err}
 	if err != nil {
 		x.sendFailed(res, c)
--- a/pkg/relay/stages.go
+++ b/pkg/relay/stages.go
@@ -304,13 +304,13 @@
 func (x *exchange) isLeaf(i int) bool { return x.users(i) == 0 }
 
 func (x *exchange) collectInputs(done [][]StageResult) {
-	x.inputs, x.inputMB, x.freed = nil, make(map[string]float64), false
+	x.inputs, x.inputMB = &stageInputs{free: x.relay.opts.Stages.Free}, make(map[string]float64)
 	for i, d := range done {
 		if !x.isLeaf(i) {
 			continue
 		}
 		for _, r := range d {
-			x.inputs = append(x.inputs, r.Handle)
+			x.inputs.handles = append(x.inputs.handles, r.Handle)
 			x.inputMB[r.Domain] += float64(x.route.Stages[i].ResultBytes) / 1e6
 		}
 	}
@@ -326,20 +326,16 @@
 	return out
 }
 
-// freeInputs gives up the results that the request needed.
-func (x *exchange) freeInputs() {
-	if len(x.inputs) > 0 && !x.freed {
-		x.freed = true
-		x.relay.opts.Stages.Free(x.inputs)
-	}
-}
-
 // stagesFailed answers a request whose stages were not done. The request itself has not run, unless its stages were run
 // anew after a send that may have.
 func (x *exchange) stagesFailed(err error) {
 	if x.leftByCaller() {
 		return
 	}
+	if x.started {
+		x.cut("the stages could not be run again: " + err.Error())
+		return
+	}
 	if x.ran > 0 {
 		x.fail(x.failStatus(), "the stages could not be run again: "+err.Error())
 		return
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -33,7 +33,7 @@
 			if firstHere {
 				firstHere = false
 				x.answered(c, time.Since(res.begun))
-				x.freeInputs()
+				x.inputs.giveUp()
 			}
 			if werr := x.forward(res, event, !holdsEvent(events), flusher); werr != nil {
 				res.close()
