Stage calls: a control VM that comes back gets its services a minute later

Cause: a service's calls are formed on the first live control VM of its hash order. One that was killed for a second took its services back at once, so that they changed hands twice: the VM that had them lost its knowledge of the servers' room, and both sent calls for a moment.

Ruled out: the time until the loss is noticed (0.6 s, then 'control VM lost' on all).

Change: control VMs tell since when they have run without a pause and in touch with the control group. Those that became steady more than 3 s after the others go to the end of the order for a minute.

--- a/pkg/fleet/control.go
+++ b/pkg/fleet/control.go
@@ -49,6 +49,9 @@
 	confirmInterval = 400 * time.Millisecond
 	// confirmLife is how long a confirmation makes what this VM says current.
 	confirmLife = time.Second
+	// unsteadyAfter is the time without a confirmation after which this VM counts as just started: an election is over by
+	// then.
+	unsteadyAfter = 2 * time.Second
 	// followHeartbeat is the longest silence on a follow stream: a request whose stage work lies on a VM that froze goes to
 	// another one after three of them.
 	followHeartbeat = 200 * time.Millisecond
@@ -88,7 +91,11 @@
 	joiners   map[string]Joiner
 	followers map[string]follower
 	confirmed time.Time
-	stages    StageRunner
+	// steady is since when this VM has run without a pause and in touch with the control group; told is when it last told a
+	// follower.
+	steady time.Time
+	told   time.Time
+	stages StageRunner
 }
 
 // follower is an entry VM that follows this VM.
@@ -107,7 +114,8 @@
 
 // NewControl returns a Control; stages may be nil.
 func NewControl(o ControlOptions, stages StageRunner) *Control {
-	return &Control{opts: o, joiners: make(map[string]Joiner), followers: make(map[string]follower), stages: stages}
+	now := time.Now()
+	return &Control{opts: o, steady: now, told: now, joiners: make(map[string]Joiner), followers: make(map[string]follower), stages: stages}
 }
 
 // Handler returns the path and handler of FleetService.
@@ -176,6 +184,9 @@
 	c.mu.Lock()
 	before := !c.confirmed.IsZero() && begin.Sub(c.confirmed) < 3*confirmLife
 	if err == nil {
+		if begin.Sub(c.confirmed) > unsteadyAfter {
+			c.steady = begin
+		}
 		c.confirmed = begin
 	}
 	c.mu.Unlock()
@@ -187,6 +198,18 @@
 	}
 }
 
+// steadyFor returns how long this VM has run without a pause and in touch with the control group, for a follower. When
+// no follower was told anything for followSilence, all have turned to other VMs meanwhile.
+func (c *Control) steadyFor(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.told) > followSilence {
+		c.steady = now
+	}
+	c.told = now
+	return now.Sub(c.steady)
+}
+
 func (c *Control) isCurrent(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/fleet/feed.go
+++ b/pkg/fleet/feed.go
@@ -112,7 +112,7 @@
 	c := f.control
 	view, _ := c.opts.Machine.View()
 	r := view.Revision
-	m := &daisyhatchv1.FollowResponse{Number: r.Number, Version: r.Version, Current: c.isCurrent(now)}
+	m := &daisyhatchv1.FollowResponse{Number: r.Number, Version: r.Version, Current: c.isCurrent(now), SteadyMs: c.steadyFor(now).Milliseconds()}
 	if !f.started || r.Number != f.number {
 		m.DomainsOut = r.DomainsOut
 	}
--- a/pkg/fleet/follower.go
+++ b/pkg/fleet/follower.go
@@ -60,6 +60,8 @@
 	// heard and since are when the last message came and when the stream was opened; zero while it is closed.
 	heard time.Time
 	since time.Time
+	// steady is since when the control VM has run without a pause, as it says.
+	steady time.Time
 	// lost is closed when the stream ends; nil while it is closed.
 	lost chan struct{}
 }
@@ -169,13 +171,13 @@
 	}()
 	for stream.Receive() {
 		watchdog.Reset(followSilence)
-		f.heard(address, s)
+		f.heard(address, s, time.Duration(stream.Msg().GetSteadyMs())*time.Millisecond)
 		f.take(address, stream.Msg())
 	}
 	return errors.Join(context.Cause(ctx), stream.Err())
 }
 
-func (f *Follower) heard(address string, s *follow) {
+func (f *Follower) heard(address string, s *follow, steady time.Duration) {
 	now := time.Now()
 	f.mu.Lock()
 	opened := s.since.IsZero()
@@ -184,6 +186,7 @@
 		s.lost = make(chan struct{})
 	}
 	s.heard = now
+	s.steady = now.Add(-steady)
 	f.mu.Unlock()
 	if opened {
 		f.opts.Log.Info("control VM found", "control", address)
@@ -234,6 +237,8 @@
 // Source is a control VM that is heard.
 type Source struct {
 	Address string
+	// Steady is since when it has run without a pause and in touch with the control group, by this VM's clock.
+	Steady time.Time
 	// Lost is closed once the VM is not heard any more.
 	Lost <-chan struct{}
 }
@@ -245,7 +250,7 @@
 	var out []Source
 	for a, s := range f.sources {
 		if s.lost != nil {
-			out = append(out, Source{Address: a, Lost: s.lost})
+			out = append(out, Source{Address: a, Steady: s.steady, Lost: s.lost})
 		}
 	}
 	return out
--- a/pkg/stageclient/stageclient.go
+++ b/pkg/stageclient/stageclient.go
@@ -60,7 +60,7 @@
 func (c *Client) Run(ctx context.Context, q relay.StageRequest) ([]relay.StageResult, error) {
 	tried := make(map[string]bool)
 	for range ownerTries {
-		owner, ok := firstOwner(q.Service, c.follower.Live(), tried)
+		owner, ok := firstOwner(q.Service, c.follower.Live(), tried, time.Now())
 		if !ok {
 			break
 		}
@@ -81,8 +81,8 @@
 }
 
 // firstOwner returns the first control VM of a service's order that was not tried.
-func firstOwner(service string, live []fleet.Source, tried map[string]bool) (fleet.Source, bool) {
-	for _, o := range rankOwners(service, live) {
+func firstOwner(service string, live []fleet.Source, tried map[string]bool, now time.Time) (fleet.Source, bool) {
+	for _, o := range rankOwners(service, live, now) {
 		if !tried[o.Address] {
 			return o, true
 		}
@@ -90,11 +90,32 @@
 	return fleet.Source{}, false
 }
 
-// rankOwners orders control VMs for a service by hash.
-func rankOwners(service string, live []fleet.Source) []fleet.Source {
+// Times by which control VMs are told apart that were gone for a while.
+const (
+	// sameStart is how far apart VMs become steady that start together, or that an election held up together.
+	sameStart = 3 * time.Second
+	// settledAfter is when a VM that was gone gets its services back. Each change of hands costs about a second of stage
+	// calls, so that it doesn't follow right on the change before.
+	settledAfter = time.Minute
+)
+
+// rankOwners orders control VMs for a service: by hash, those behind that were gone a moment ago.
+func rankOwners(service string, live []fleet.Source, now time.Time) []fleet.Source {
+	var oldest time.Time
+	for _, s := range live {
+		if oldest.IsZero() || s.Steady.Before(oldest) {
+			oldest = s.Steady
+		}
+	}
 	rank := func(s fleet.Source) uint64 { return xxhash.Sum64String(service + "\x00" + s.Address) }
+	recent := func(s fleet.Source) int {
+		if s.Steady.Sub(oldest) > sameStart && now.Sub(s.Steady) < settledAfter {
+			return 1
+		}
+		return 0
+	}
 	slices.SortFunc(live, func(a, b fleet.Source) int {
-		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Address, b.Address))
+		return cmp.Or(cmp.Compare(recent(a), recent(b)), cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Address, b.Address))
 	})
 	return live
 }
