--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -181,6 +181,8 @@
 	inputMB map[string]float64
 	// home is the failure domain of the server that the request would have gone to before its stages.
 	home string
+	// failedStage is the service of the stage that ended the latest run of the stages; empty when all were done.
+	failedStage string
 	// chains is how often the stages were run.
 	chains int
 	sent   *placement.Sent
@@ -354,7 +356,7 @@
 	fields := []any{
 		"id", x.call.ID, "route", route, "service", service, "organisation", x.organisation, "outcome", x.outcome,
 		"status", x.status, "reason", x.reason, "late", late, "took_ms", took.Milliseconds(), "waited_ms", x.waited.Milliseconds(),
-		"staged_ms", x.staged.Milliseconds(), "chains", x.chains, "first_ms", x.first.Milliseconds(), "servers", x.tried,
+		"staged_ms", x.staged.Milliseconds(), "chains", x.chains, "failed_stage", x.failedStage, "first_ms", x.first.Milliseconds(), "servers", x.tried,
 		"version", version, "state", k.Number(), "state_age_ms", k.ContactAge(time.Now()).Milliseconds(),
 	}
 	if leftOut > 0 {
--- a/pkg/relay/stages.go
+++ b/pkg/relay/stages.go
@@ -83,6 +83,7 @@
 	x.home = x.homeDomain()
 	for {
 		x.chains++
+		x.failedStage = ""
 		err := x.runChain()
 		x.staged = time.Since(x.begin)
 		var refused *StageRefused
@@ -142,6 +143,7 @@
 		x.expires[e.stage] = time.Now().Add(ttl - expiryMargin)
 		if e.err != nil && failed == nil {
 			failed = e.err
+			x.failedStage = stages[e.stage].Service
 			cancel()
 		}
 		x.freeUsed(read, done)
