Fleet: entry VMs hear of servers when they change or fall silent

Cause: every control VM named all servers to every entry VM each 5 s, so that they were not forgotten: worked out 252 KB/s a VM at 2,800 servers, against a bound of 14 KB/s, and 15 KB/s at the grown sites. Ruled out: one control VM that refreshes and four that don't: still 50 KB/s at 2,800 servers. Change: every 5 s a stream says that all servers it told of were heard, except those it lists. The VMs' names come every 20 s instead of 5. Control VMs go on hearing of each server with its age from one another.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -171,6 +171,13 @@
 	}
 }
 
+// Refresh notes that a server was heard at a time at least; departures and unknown servers stay as they are.
+func (d *Directory) Refresh(id string, heard time.Time) {
+	if s := d.servers[id]; s != nil && s.State != Gone && s.Heard.Before(heard) {
+		s.Heard = heard
+	}
+}
+
 // Leave marks a server as gone; an unknown one is remembered, so that a late announcement doesn't bring it back.
 func (d *Directory) Leave(id string, now time.Time) (Server, Change) {
 	s := Server{ID: id, State: Gone, Heard: now}
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -14,6 +14,20 @@
 	return Server{ID: id, Born: born, Sequence: seq, Service: "s", Address: "10.0.0.1:80", Domain: "a", State: state, Heard: start}
 }
 
+func TestRefreshKeepsAServerAndNoDeparture(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := New()
+	d.Merge(Server{ID: "a", State: Ready, Address: "x", Heard: now})
+	d.Merge(Server{ID: "b", State: Gone, Heard: now})
+	later := now.Add(keptGone)
+	d.Refresh("a", later)
+	d.Refresh("b", later)
+	d.Refresh("c", later)
+	d.Refresh("a", now)
+	require.Empty(t, d.Expire(later.Add(time.Millisecond)))
+	require.Len(t, d.All(), 1, "the departure is forgotten in time, the server is kept")
+}
+
 func TestLateAnnouncementDoesNotBringALeavingServerBack(t *testing.T) {
 	for _, state := range []State{Draining, Gone} {
 		d := New()
--- a/pkg/fleet/control.go
+++ b/pkg/fleet/control.go
@@ -59,6 +59,8 @@
 	followBatch = 20 * time.Millisecond
 	// refreshInterval is how often followers hear that servers are still there: a third of what a silent one is kept.
 	refreshInterval = 5 * time.Second
+	// rosterRefresh is how often followers hear of the VMs when nothing changed: a third of entriesKept.
+	rosterRefresh = entriesKept / 3
 	// peerRefreshInterval is the same between control VMs.
 	peerRefreshInterval = time.Second
 )
--- a/pkg/fleet/feed.go
+++ b/pkg/fleet/feed.go
@@ -101,7 +101,7 @@
 // fillRoster adds the VMs' names when they changed, and from time to time.
 func (f *feed) fillRoster(m *daisyhatchv1.FollowResponse, now time.Time) {
 	addresses, entries := f.control.controlAddresses(now), f.control.entries(now)
-	if slices.Equal(addresses, f.addresses) && slices.Equal(entries, f.entries) && now.Sub(f.rosterAt) < refreshInterval {
+	if slices.Equal(addresses, f.addresses) && slices.Equal(entries, f.entries) && now.Sub(f.rosterAt) < rosterRefresh {
 		return
 	}
 	f.addresses, f.entries, f.rosterAt = addresses, entries, now
@@ -121,20 +121,32 @@
 		m.Document = r.Document
 	}
 	f.number, f.version = r.Number, r.Version
-	state := c.opts.State
+	f.fillServers(m, now)
+	return m
+}
+
+// fillServers adds what the follower must hear of the servers: all at first, then changes, and from time to time which ones
+// were heard. Control VMs hear that of each server with its age, entry VMs only who was silent.
+func (f *feed) fillServers(m *daisyhatchv1.FollowResponse, now time.Time) {
+	state := f.control.opts.State
 	switch {
 	case !f.started:
 		servers, count := state.all()
 		m.Servers, m.Complete = allToWire(servers, now), true
 		f.started, f.count, f.heard, f.heardAt = true, count, count, now
-	case now.Sub(f.heardAt) >= f.refresh:
+	case now.Sub(f.heardAt) >= f.refresh && f.peer:
 		servers, count := state.since(min(f.heard, f.count), true)
 		m.Servers = allToWire(servers, now)
 		f.count, f.heard, f.heardAt = count, count, now
+	case now.Sub(f.heardAt) >= f.refresh:
+		servers, count := state.since(f.count, false)
+		m.Servers = allToWire(servers, now)
+		m.Refresh, m.RefreshMs = true, now.Sub(f.heardAt).Milliseconds()
+		m.Silent, f.heard = state.unheard(f.heard)
+		f.count, f.heardAt = count, now
 	default:
 		servers, count := state.since(f.count, false)
 		m.Servers = allToWire(servers, now)
 		f.count = count
 	}
-	return m
 }
--- a/pkg/fleet/follower.go
+++ b/pkg/fleet/follower.go
@@ -60,6 +60,8 @@
 	// heard and since are when the last message came and when the stream was opened; zero while it is closed.
 	heard time.Time
 	since time.Time
+	// told are the servers that were told of on the stream.
+	told map[string]bool
 	// steady is since when the control VM has run without a pause, as it says.
 	steady time.Time
 	// lost is closed when the stream ends; nil while it is closed.
@@ -173,6 +175,7 @@
 		watchdog.Reset(followSilence)
 		f.heard(address, s, time.Duration(stream.Msg().GetSteadyMs())*time.Millisecond)
 		f.take(address, stream.Msg())
+		f.refreshAt(s, stream.Msg(), time.Now())
 	}
 	return errors.Join(context.Cause(ctx), stream.Err())
 }
@@ -193,6 +196,21 @@
 	}
 }
 
+// refreshAt keeps the servers that the control VM goes on hearing, which it doesn't list one by one. Only the stream's own
+// goroutine uses s.told.
+func (f *Follower) refreshAt(s *follow, m *daisyhatchv1.FollowResponse, now time.Time) {
+	if m.GetComplete() || s.told == nil {
+		s.told = make(map[string]bool)
+	}
+	for _, v := range m.GetServers() {
+		s.told[v.GetId()] = true
+	}
+	if !m.GetRefresh() {
+		return
+	}
+	f.opts.State.refresh(s.told, m.GetSilent(), now.Add(-time.Duration(m.GetRefreshMs())*time.Millisecond))
+}
+
 // take merges one message.
 func (f *Follower) take(address string, m *daisyhatchv1.FollowResponse) {
 	now := time.Now()
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -255,6 +255,30 @@
 	return out, s.changes
 }
 
+// unheard returns the ids of servers that were not heard after the change count given, and the count to ask with next.
+func (s *State) unheard(count uint64) ([]string, uint64) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var out []string
+	for id, at := range s.heardAt {
+		if v, ok := s.dir.Get(id); ok && at <= count && v.State != directory.Gone {
+			out = append(out, id)
+		}
+	}
+	return out, s.changes
+}
+
+// refresh notes that servers, except the silent ones, were heard at a time at least.
+func (s *State) refresh(ids map[string]bool, silent []string, heard time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range ids {
+		if !slices.Contains(silent, id) {
+			s.dir.Refresh(id, heard)
+		}
+	}
+}
+
 // all returns all records and the change count.
 func (s *State) all() ([]directory.Server, uint64) {
 	s.mu.RLock()
