--- a/internal/docscheck/docs_test.go
+++ b/internal/docscheck/docs_test.go
@@ -72,6 +72,21 @@
 	requireAll(t, logPage, sources(t), "[\"`](daisyhatch_[a-z]+_[a-z_]+)", 20)
 }
 
+// TestEveryLogLineIsDocumented demands that each message of a log line stands on one of the two pages that list them.
+func TestEveryLogLineIsDocumented(t *testing.T) {
+	rule := regexp.MustCompile(`[lL]og(?:\(\))?(?:\.V\(\d\))?(?:\.WithName\("\w+"\))?\.(?:Info\(|Error\([^,"]+, ?)\s*"([^"]+)"`)
+	found := rule.FindAllStringSubmatch(sources(t), -1)
+	require.Greater(t, len(found), 70)
+	content := read(t, logPage) + read(t, "docs/OPERATIONS.md")
+	var missing []string
+	for _, m := range found {
+		if !strings.Contains(content, m[1]) {
+			missing = append(missing, m[1])
+		}
+	}
+	require.Empty(t, missing, "add a line for each to %s or docs/OPERATIONS.md", logPage)
+}
+
 // TestLinksLead demands that links between the pages lead somewhere.
 func TestLinksLead(t *testing.T) {
 	rule := regexp.MustCompile(`\]\(([^):#]+)\)`)
