Fleet, stage calls, executor's test world: large files split by their parts

Ruled out: new packages, since the parts share their types. Change: functions moved, none changed: stagecall pool, send, giveup; fleet joining, orders, stages; the test world's KV caches.

--- /dev/null
+++ b/pkg/fleet/joining.go
@@ -0,0 +1,127 @@
+package fleet
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+
+	daisyhatchv1 "github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1"
+	"github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1/daisyhatchv1connect"
+)
+
+// join asks the others to be taken into the group while this VM is no voter or obeys no leader.
+func (c *Control) join(ctx context.Context) {
+	s := c.opts.Node.Status()
+	if len(s.Membership.GetPeers()) > 0 && !s.Learner && s.Quiet < quietBeforeJoin {
+		return
+	}
+	req := &daisyhatchv1.JoinRequest{Vm: c.opts.VM, Address: c.opts.Address, Instance: c.opts.Node.Instance()}
+	c.eachPeer(ctx, joinInterval, func(ctx context.Context, cl daisyhatchv1connect.FleetServiceClient) error {
+		res, err := cl.Join(ctx, connect.NewRequest(req))
+		if err == nil {
+			c.opts.Roster.Name(res.Msg.GetControlAddresses(), time.Now())
+		}
+		return err
+	})
+}
+
+// eachPeer makes a call to all other control VMs at once and returns how many took it.
+func (c *Control) eachPeer(
+	ctx context.Context, limit time.Duration, call func(context.Context, daisyhatchv1connect.FleetServiceClient) error,
+) int {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	addresses := c.opts.Roster.Addresses(time.Now())
+	results := make(chan error, len(addresses))
+	for _, a := range addresses {
+		go func() { results <- call(ctx, c.client(a)) }()
+	}
+	took := 0
+	for range addresses {
+		if err := <-results; err == nil {
+			took++
+		}
+	}
+	return took
+}
+
+func (c *Control) client(address string) daisyhatchv1connect.FleetServiceClient {
+	return daisyhatchv1connect.NewFleetServiceClient(c.opts.HTTP, "http://"+address)
+}
+
+// Join implements FleetService.
+func (c *Control) Join(
+	_ context.Context, req *connect.Request[daisyhatchv1.JoinRequest],
+) (*connect.Response[daisyhatchv1.JoinResponse], error) {
+	m, now := req.Msg, time.Now()
+	c.mu.Lock()
+	c.joiners[m.GetVm()] = Joiner{VM: m.GetVm(), Address: m.GetAddress(), Instance: m.GetInstance(), Asked: now}
+	c.mu.Unlock()
+	c.opts.Roster.Name([]string{m.GetAddress()}, now)
+	return connect.NewResponse(&daisyhatchv1.JoinResponse{ControlAddresses: c.controlAddresses(now)}), nil
+}
+
+// controlAddresses returns the members of the group and the VMs that wait to join.
+func (c *Control) controlAddresses(now time.Time) []string {
+	out := []string{c.opts.Address}
+	for _, p := range c.opts.Node.Status().Membership.GetPeers() {
+		out = append(out, p.GetAddress())
+	}
+	c.mu.Lock()
+	for _, j := range c.joiners {
+		if now.Sub(j.Asked) <= joinLife {
+			out = append(out, j.Address)
+		}
+	}
+	c.mu.Unlock()
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// plan makes the next change of the group if this VM leads.
+func (c *Control) plan(ctx context.Context) {
+	silences, err := c.opts.Node.Silences(ctx)
+	if err != nil {
+		return
+	}
+	now := time.Now()
+	var members []Member
+	for _, p := range c.opts.Node.Status().Membership.GetPeers() {
+		members = append(members, Member{
+			VM: p.GetVm(), Instance: p.GetInstance(), Learner: p.GetLearner(), Silence: silences[p.GetVm()],
+		})
+	}
+	c.mu.Lock()
+	joiners := slices.Collect(maps.Values(c.joiners))
+	c.mu.Unlock()
+	step := Plan(members, joiners, c.voters(), now)
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	switch {
+	case step.Add != nil:
+		peer := &daisyhatchv1.ConsensusPeer{Vm: step.Add.VM, Address: step.Add.Address}
+		err = c.opts.Node.ChangeMembership(ctx, peer, "")
+	case step.Remove != "":
+		err = c.opts.Node.ChangeMembership(ctx, nil, step.Remove)
+	default:
+		return
+	}
+	added := ""
+	if step.Add != nil {
+		added = step.Add.VM
+	}
+	c.opts.Log.Info("control group changed", "added", added, "removed", step.Remove, "members", len(members), "error", errorText(err))
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// voters is the size of the group that bears the losses of disks.
+func (c *Control) voters() int { return 2*c.opts.LossesBorne + 1 }
--- /dev/null
+++ b/pkg/fleet/orders.go
@@ -0,0 +1,138 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	daisyhatchv1 "github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1"
+	"github.com/daisyhatch/daisyhatch/pkg/directory"
+	"github.com/daisyhatch/daisyhatch/pkg/fsm"
+)
+
+// durable reports whether what the group accepts outlasts the losses of disks that must be borne.
+func (c *Control) durable() bool {
+	n := 0
+	for _, p := range c.opts.Node.Status().Membership.GetPeers() {
+		if !p.GetLearner() {
+			n++
+		}
+	}
+	return n/2+1 > c.opts.LossesBorne
+}
+
+// propose puts a command into the log and returns its result.
+func (c *Control) propose(ctx context.Context, cmd *daisyhatchv1.Command) (*daisyhatchv1.Result, error) {
+	if !c.durable() {
+		return nil, fmt.Errorf("%w: too few voters to bear the loss of %d disks", ErrUnavailable, c.opts.LossesBorne)
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	cmd.Proposer, cmd.TimeUnixMs = c.opts.VM, time.Now().UnixMilli()
+	data, err := proto.Marshal(cmd)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	a, err := c.opts.Node.Propose(ctx, data)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	r, err := fsm.DecodeResult(a.Result)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	return r, nil
+}
+
+// Publish puts a configuration document in force unless a higher version is. Errors: ErrInvalid when the document is
+// refused, ErrUnavailable when it may or may not have been taken.
+func (c *Control) Publish(ctx context.Context, document []byte) (accepted bool, err error) {
+	set, err := c.opts.Parse(document)
+	if err != nil {
+		return false, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	cmd := &daisyhatchv1.RevisionCommand{Version: set.Version, Document: document}
+	r, err := c.propose(ctx, &daisyhatchv1.Command{Body: &daisyhatchv1.Command_Revision{Revision: cmd}})
+	if err != nil {
+		return false, err
+	}
+	return r.GetRevision().GetOutcome() == daisyhatchv1.RevisionOutcome_REVISION_OUTCOME_ACCEPTED, nil
+}
+
+// Document returns the configuration in force: the newest one accepted when the call began, or ErrUnavailable.
+func (c *Control) Document(ctx context.Context) (document []byte, version uint64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	if err := c.opts.Node.ReadBarrier(ctx); err != nil {
+		return nil, 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	view, _ := c.opts.Machine.View()
+	if view.Revision.Version == 0 {
+		return nil, 0, fmt.Errorf("%w: no configuration was accepted yet", ErrUnavailable)
+	}
+	return view.Revision.Document, view.Revision.Version, nil
+}
+
+// SetDomain takes a failure domain out of service or back in.
+func (c *Control) SetDomain(ctx context.Context, domain string, out bool) error {
+	cmd := &daisyhatchv1.DomainCommand{FailureDomain: domain, Out: out}
+	_, err := c.propose(ctx, &daisyhatchv1.Command{Body: &daisyhatchv1.Command_Domain{Domain: cmd}})
+	return err
+}
+
+// Announce takes a server's announcement. One that ends the server's work is acknowledged only once so many other control
+// VMs have it that the losses that must be borne leave one; ErrUnavailable otherwise.
+func (c *Control) Announce(ctx context.Context, s directory.Server) error {
+	changed := c.opts.State.Merge([]directory.Server{s})
+	if len(changed) > 0 {
+		c.opts.Log.Info("server announced", "server", s.ID, "service", s.Service, "state", s.State.String(),
+			"address", s.Address, "domain", s.Domain, "born_ms", s.Born, "sequence", s.Sequence)
+	}
+	if s.State == directory.Ready {
+		return nil
+	}
+	return c.relay(ctx, s)
+}
+
+// Leave takes a server's departure, as Announce does.
+func (c *Control) Leave(ctx context.Context, id string) error {
+	s := c.opts.State.Leave(id, time.Now())
+	c.opts.Log.Info("server left", "server", id, "service", s.Service, "address", s.Address)
+	return c.relay(ctx, s)
+}
+
+func (c *Control) relay(ctx context.Context, s directory.Server) error {
+	req := &daisyhatchv1.RelayRequest{Servers: []*daisyhatchv1.AnnouncedServer{toWire(s, time.Now())}}
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	addresses := c.opts.Roster.Addresses(time.Now())
+	results := make(chan error, len(addresses))
+	for _, a := range addresses {
+		go func() {
+			_, err := c.client(a).Relay(ctx, connect.NewRequest(req))
+			results <- err
+		}()
+	}
+	took := 0
+	for range addresses {
+		if err := <-results; err == nil {
+			took++
+		}
+		if took >= c.opts.LossesBorne {
+			return nil
+		}
+	}
+	return fmt.Errorf("%w: %d other control VMs took the departure of %s, %d are needed",
+		ErrUnavailable, took, s.ID, c.opts.LossesBorne)
+}
+
+// Relay implements FleetService.
+func (c *Control) Relay(
+	_ context.Context, req *connect.Request[daisyhatchv1.RelayRequest],
+) (*connect.Response[daisyhatchv1.RelayResponse], error) {
+	c.opts.State.Merge(allFromWire(req.Msg.GetServers(), time.Now()))
+	return connect.NewResponse(&daisyhatchv1.RelayResponse{}), nil
+}
--- /dev/null
+++ b/pkg/fleet/stages.go
@@ -0,0 +1,54 @@
+package fleet
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	daisyhatchv1 "github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1"
+)
+
+// StageRunner runs stage calls for other VMs.
+type StageRunner interface {
+	// Run returns the results; inputsRead is called at most once before that, when nothing reads the inputs any more.
+	Run(ctx context.Context, r *daisyhatchv1.StageRunRequest, inputsRead func()) (*daisyhatchv1.StageRunResponse, error)
+	Free(handles []string)
+}
+
+// StageRun implements FleetService.
+func (c *Control) StageRun(
+	ctx context.Context, req *connect.Request[daisyhatchv1.StageRunRequest],
+	stream *connect.ServerStream[daisyhatchv1.StageRunResponse],
+) error {
+	type end struct {
+		res *daisyhatchv1.StageRunResponse
+		err error
+	}
+	read, ended := make(chan struct{}), make(chan end, 1)
+	go func() {
+		res, err := c.stages.Run(ctx, req.Msg, func() { close(read) })
+		ended <- end{res, err}
+	}()
+	for {
+		select {
+		case <-read:
+			read = nil
+			if err := stream.Send(&daisyhatchv1.StageRunResponse{InputsRead: true}); err != nil {
+				return err
+			}
+		case e := <-ended:
+			if e.err != nil {
+				return connect.NewError(connect.CodeUnavailable, e.err)
+			}
+			return stream.Send(e.res)
+		}
+	}
+}
+
+// StageFree implements FleetService.
+func (c *Control) StageFree(
+	_ context.Context, req *connect.Request[daisyhatchv1.StageFreeRequest],
+) (*connect.Response[daisyhatchv1.StageFreeResponse], error) {
+	c.stages.Free(req.Msg.GetHandles())
+	return connect.NewResponse(&daisyhatchv1.StageFreeResponse{}), nil
+}
--- /dev/null
+++ b/pkg/stagecall/giveup.go
@@ -0,0 +1,79 @@
+package stagecall
+
+import (
+	"context"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/daisyhatch/daisyhatch/pkg/upstream"
+)
+
+// Free gives results up; calls to one server are gathered for a moment.
+func (r *Runner) Free(handles []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, h := range handles {
+		address := AddressOf(h)
+		if address != "" && !slices.Contains(r.free[address], h) {
+			r.free[address] = append(r.free[address], h)
+		}
+	}
+	if r.timer == nil && len(r.free) > 0 {
+		r.timer = time.AfterFunc(freeInterval, r.flush)
+	}
+}
+
+func (r *Runner) flush() {
+	r.mu.Lock()
+	all := r.free
+	r.free = make(map[string][]string)
+	r.timer = nil
+	pools := make([]*pool, 0, len(r.pools))
+	for _, p := range r.pools {
+		pools = append(pools, p)
+	}
+	r.mu.Unlock()
+	for address, handles := range all {
+		go r.sendFree(address, handles, pools)
+	}
+}
+
+func (r *Runner) sendFree(address string, handles []string, pools []*pool) {
+	method, path, body, err := r.opts.Dialect.StageFree(handles)
+	if err != nil {
+		r.opts.Log.Error(err, "results not given up", "server_address", address)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	a, err := r.opts.Pool.Do(ctx, upstream.Call{
+		Address: address, Method: method, Target: path, Host: address, Header: r.opts.Dialect.TargetHeader("", freeTimeout),
+		Body: body, HasBody: true,
+	})
+	if err != nil {
+		r.opts.Log.Info("results not given up", "server_address", address, "count", len(handles), "reason", err.Error())
+		return
+	}
+	// The answer says nothing beyond its status; what can't be read drops the connection.
+	_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxAnswer))
+	_ = a.Body.Close()
+	for _, p := range pools {
+		p.mu.Lock()
+		if id, ok := p.makers[address]; ok {
+			p.sched.Freed(id, handles)
+		}
+		p.mu.Unlock()
+		p.dispatch()
+	}
+}
+
+// AddressOf returns the address of the server that holds a result.
+func AddressOf(handle string) string {
+	for i := range len(handle) {
+		if handle[i] == '/' {
+			return handle[:i]
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/pkg/stagecall/pool.go
@@ -0,0 +1,217 @@
+package stagecall
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/daisyhatch/daisyhatch/pkg/dialect"
+	"github.com/daisyhatch/daisyhatch/pkg/retry"
+	"github.com/daisyhatch/daisyhatch/pkg/upstream"
+)
+
+// pool is the work on one service.
+type pool struct {
+	runner  *Runner
+	service string
+
+	mu     sync.Mutex
+	sched  *Scheduler
+	budget *retry.Budget
+	timer  *time.Timer
+	// makers names the server of each address, for the room of results.
+	makers map[string]string
+}
+
+// waiter is a job and those that wait for it. The pool's lock guards it.
+type waiter struct {
+	job     *Job
+	results []dialect.PieceResult
+	domains []string
+	left    int
+	done    chan struct{}
+	closed  bool
+	// unread counts the pieces whose inputs may still be read; inputsRead is told when there are none, nil when nobody
+	// wants to know.
+	unread     int
+	inputsRead func()
+}
+
+// add queues a job unless it can't be done in time; the wait is returned then.
+func (p *pool) add(w *waiter, now time.Time) (time.Duration, bool) {
+	p.mu.Lock()
+	servers := p.runner.opts.View.Serving(p.service, now)
+	if _, ok := p.sched.Forecast(w.job, servers, now); !ok {
+		backlog := p.sched.Backlog(servers, now)
+		p.mu.Unlock()
+		return backlog, false
+	}
+	p.budget.Attempt(now)
+	w.job.owner = w
+	p.sched.Arrive(w.job, now)
+	p.mu.Unlock()
+	p.dispatch()
+	return 0, true
+}
+
+// drop takes a job back whose caller has gone, and returns the results that it has.
+func (p *pool) drop(w *waiter) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sched.Drop(w.job)
+	w.finish()
+	var handles []string
+	for _, r := range w.results {
+		if r.Handle != "" {
+			handles = append(handles, r.Handle)
+		}
+	}
+	return handles
+}
+
+// finish ends the wait; the pool's lock is held.
+func (w *waiter) finish() {
+	if !w.closed {
+		w.closed = true
+		close(w.done)
+	}
+}
+
+// dispatch makes all calls that can be made now.
+func (p *pool) dispatch() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	servers := p.runner.opts.View.Serving(p.service, now)
+	for _, j := range p.sched.Hopeless(servers, now) {
+		for _, piece := range j.Pieces {
+			j.owner.settle(piece, dialect.PieceResult{Reason: dialect.ReasonLate}, "")
+		}
+	}
+	p.sched.Retain(servers)
+	for _, v := range p.sched.Unasked(servers, now) {
+		go p.ask(v)
+	}
+	for {
+		c, ok := p.sched.Next(servers, now)
+		if !ok {
+			break
+		}
+		p.makers[c.Server.Address] = c.Server.ID
+		go p.call(&c)
+	}
+	if wait, ok := p.sched.Wait(now); ok {
+		if p.timer != nil {
+			p.timer.Stop()
+		}
+		p.timer = time.AfterFunc(wait, p.dispatch)
+	}
+}
+
+// settle notes a piece's end; the pool's lock is held.
+func (w *waiter) settle(piece Piece, r dialect.PieceResult, domain string) {
+	i := piece.Index
+	if i < 0 || i >= len(w.results) || w.results[i] != (dialect.PieceResult{}) {
+		return
+	}
+	w.results[i], w.domains[i] = r, domain
+	w.left--
+	if w.left == 0 {
+		w.finish()
+	}
+}
+
+// call makes one call and hands its results out.
+func (p *pool) call(c *Call) {
+	reading := time.AfterFunc(inputReadTime, func() { p.inputsRead(c) })
+	results, err := p.send(c)
+	reading.Stop()
+	now := time.Now()
+	p.mu.Lock()
+	o := Outcome{Failed: err != nil}
+	var left *upstream.Error
+	if errors.As(err, &left) && !left.Sent || errors.Is(err, errShed) {
+		o.Failed, o.Shed = false, true
+	}
+	n := 0
+	var unwanted []string
+	for _, part := range c.Parts {
+		var handles []string
+		for _, piece := range part.Pieces {
+			r := dialect.PieceResult{Reason: dialect.ReasonError}
+			if err == nil {
+				r = results[n]
+			}
+			n++
+			o.NoRoom = o.NoRoom || r.Reason == dialect.ReasonRoom
+			if r.Handle != "" && part.Job.owner.closed {
+				unwanted = append(unwanted, r.Handle)
+			}
+			handles = append(handles, r.Handle)
+			p.take(part.Job, piece, r, c, o.Shed, now)
+		}
+		o.Handles = append(o.Handles, handles)
+	}
+	p.sched.Done(c, o, now)
+	p.mu.Unlock()
+	p.runner.Free(unwanted)
+	p.log(c, &o, err, now)
+	p.dispatch()
+}
+
+// inputsRead notes that a call which has not ended has read its inputs.
+func (p *pool) inputsRead(c *Call) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.inputsRead = true
+	for _, part := range c.Parts {
+		w := part.Job.owner
+		w.unread -= len(part.Pieces)
+		if w.unread == 0 && !w.closed && w.inputsRead != nil {
+			w.inputsRead()
+			w.inputsRead = nil
+		}
+	}
+}
+
+// take handles one piece's result: a piece without one is sent again while that may help.
+func (p *pool) take(j *Job, piece Piece, r dialect.PieceResult, c *Call, shed bool, now time.Time) {
+	w := j.owner
+	if r.Handle != "" {
+		w.settle(piece, r, c.Server.Domain)
+		return
+	}
+	if r.Reason != dialect.ReasonRoom {
+		piece.Tries++
+	}
+	again := r.Reason == dialect.ReasonError || r.Reason == dialect.ReasonRoom
+	inTime := j.Deadline.Sub(now) > p.sched.batch.CallTime(1)
+	if again && inTime && !w.closed && piece.Tries < maxTries && (shed || r.Reason == dialect.ReasonRoom || p.budget.Allow(now)) {
+		if len(j.Pieces) == 0 {
+			p.sched.Add(j)
+		}
+		j.Pieces = append(j.Pieces, piece)
+		if c.inputsRead {
+			w.unread++
+		}
+		return
+	}
+	w.settle(piece, r, "")
+}
+
+// log tells of a call: which pieces went where, how long they had waited, and what came of it.
+func (p *pool) log(c *Call, o *Outcome, err error, now time.Time) {
+	var requests []string
+	waited := time.Duration(0)
+	for _, part := range c.Parts {
+		requests = append(requests, part.Job.Request)
+		waited = max(waited, c.Begun.Sub(part.Job.Arrived))
+	}
+	reason := ""
+	if err != nil {
+		reason = err.Error()
+	}
+	p.runner.opts.Log.Info("stage call", "service", p.service, "server", c.Server.ID, "pieces", c.Count(),
+		"failed", o.Failed, "shed", o.Shed, "no_room", o.NoRoom, "waited_ms", waited.Milliseconds(), "took_ms", now.Sub(c.Begun).Milliseconds(),
+		"expected_ms", c.Expected.Milliseconds(), "requests", requests, "reason", reason)
+}
