Experiment: stage calls under chosen load, in virtual time

Ruled out: the bench of the other interface (internal/bench), which has no stage servers with room. Change: internal/experiment drives stagecall.Scheduler with emulated servers, beside inputs kept to the end, calls formed by seven VMs apart, and a call for each job; make experiment writes docs/EXPERIMENT.md and three plots.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOLANGCI := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 export CGO_ENABLED := 1
 
-.PHONY: build demo latency soak soak-regions soak-processes soak-processes-all soak-processes-losses bench test lint vet unit fmt generate
+.PHONY: experiment build demo latency soak soak-regions soak-processes soak-processes-all soak-processes-losses bench test lint vet unit fmt generate
 
 build:
 	mkdir -p bin
@@ -51,6 +51,10 @@
 soak-regions:
 	go test ./internal/soak -run RegionsApart -count=1 -timeout 2h -v -soak.seed=$(SOAK_SEED) -soak.seeds=$(SOAK_SEEDS) -soak.apart=$(APART)
 
+# Drives the decisions about stage calls at chosen load and writes docs/EXPERIMENT.md with its plots.
+experiment:
+	go test ./internal/experiment -run Write -count=1 -v -experiment.docs=$(CURDIR)/docs
+
 # Compares the full policy with plain baselines and writes docs/BENCHMARKS.md.
 BENCH_SEEDS ?= 5
 bench:
