Settings: numbers are read in every form in which the platform renders them

Ruled out: rounding in the template (it has no arithmetic); a default for what can't be read (it would hide a wrong bound). Change: both extras are fractions; whole numbers may have a fraction of zero or an exponent, seconds an exponent. Conclusion: a value that is no number still stops the start, with the key named.

--- a/pkg/allowance/allowance.go
+++ b/pkg/allowance/allowance.go
@@ -98,13 +98,13 @@
 // requests and extra.
 type Repeats struct {
 	ratio    float64
-	extra    int
+	extra    float64
 	requests *Window
 	repeats  *Window
 }
 
 // NewRepeats returns Repeats for a window.
-func NewRepeats(ratio float64, extra int, window time.Duration) *Repeats {
+func NewRepeats(ratio float64, extra float64, window time.Duration) *Repeats {
 	return &Repeats{ratio: ratio, extra: extra, requests: NewWindow(window), repeats: NewWindow(window)}
 }
 
@@ -113,6 +113,6 @@
 
 // Allow takes one repeat out of this VM's share; entries is how many VMs share the extra.
 func (r *Repeats) Allow(service string, entries int, now time.Time) bool {
-	limit := r.ratio*float64(r.requests.Count(service, now)) + float64(r.extra)/float64(max(entries, 1))
+	limit := r.ratio*float64(r.requests.Count(service, now)) + r.extra/float64(max(entries, 1))
 	return r.repeats.Take(service, int(limit*used), now)
 }
--- a/pkg/inifile/fields.go
+++ b/pkg/inifile/fields.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -113,9 +114,9 @@
 // Int is a field of a whole number from low to high.
 func Int[T ~int | ~int64](p *T, low, high T) Field {
 	return Field{Set: func(v string) error {
-		n, err := strconv.ParseInt(v, 10, 64)
+		n, err := wholeNumber(v)
 		if err != nil {
-			return fmt.Errorf("%q is not a whole number", v)
+			return err
 		}
 		if n < int64(low) || n > int64(high) {
 			return fmt.Errorf("%d is not within %d and %d", n, low, high)
@@ -125,6 +126,21 @@
 	}}
 }
 
+// maxExact is the size up to which each whole number has a float64 of its own.
+const maxExact = 1 << 53
+
+// wholeNumber reads an integer. Programs that fill settings in may write it with a fraction of zero, or an exponent.
+func wholeNumber(v string) (int64, error) {
+	if n, err := strconv.ParseInt(v, 10, 64); err == nil {
+		return n, nil
+	}
+	f, err := strconv.ParseFloat(v, 64)
+	if err != nil || f != math.Trunc(f) || math.Abs(f) > maxExact {
+		return 0, fmt.Errorf("%q is not a whole number", v)
+	}
+	return int64(f), nil
+}
+
 // Float is a field of a number from low to high.
 func Float(p *float64, low, high float64) Field {
 	return Field{Set: func(v string) error {
@@ -140,10 +156,24 @@
 	}}
 }
 
+// duration reads a duration; seconds may have an exponent.
+func duration(v string) (time.Duration, error) {
+	d, err := time.ParseDuration(v)
+	if err == nil {
+		return d, nil
+	}
+	seconds, isSeconds := strings.CutSuffix(v, "s")
+	f, numberErr := strconv.ParseFloat(seconds, 64)
+	if !isSeconds || numberErr != nil || !(math.Abs(f) < math.MaxInt64/float64(time.Second)) {
+		return 0, err
+	}
+	return time.Duration(f * float64(time.Second)), nil
+}
+
 // Duration is a field such as 250ms, 5s or 1h from low to high.
 func Duration(p *time.Duration, low, high time.Duration) Field {
 	return Field{Set: func(v string) error {
-		d, err := time.ParseDuration(v)
+		d, err := duration(v)
 		if err != nil {
 			return fmt.Errorf("%q is not a duration such as 250ms or 5s", v)
 		}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -52,7 +52,7 @@
 	Repeats *allowance.Repeats
 	// ColdOverrun and ColdExtra bound what a cold server gets in a second from all VMs.
 	ColdOverrun float64
-	ColdExtra   int
+	ColdExtra   float64
 	Log         logr.Logger
 }
 
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -161,7 +161,7 @@
 
 // coldShare is how many requests this VM may send to a cold server within a second.
 func (r *Relay) coldShare(s *catalog.Service, server string, now time.Time) int {
-	bound := s.ColdRate*r.opts.ColdOverrun + float64(r.opts.ColdExtra)
+	bound := s.ColdRate*r.opts.ColdOverrun + r.opts.ColdExtra
 	return allowance.Share(bound, server, r.opts.VM, r.opts.Knowledge.EntryNames(now))
 }
 
--- a/pkg/settings/fleet.go
+++ b/pkg/settings/fleet.go
@@ -25,11 +25,11 @@
 	// a window from all VMs (keys retry-ratio, retry-window, retry-extra).
 	RetryRatio  float64
 	RetryWindow time.Duration
-	RetryExtra  int
+	RetryExtra  float64
 	// ColdOverrun and ColdExtra bound what a cold server gets in a second from all VMs: its rate times the overrun, and
 	// the extra (keys cold-overrun, cold-extra).
 	ColdOverrun float64
-	ColdExtra   int
+	ColdExtra   float64
 }
 
 // Defaults of Fleet.
@@ -56,9 +56,9 @@
 		"losses-borne": inifile.Int(&f.LossesBorne, 0, 10),
 		"retry-ratio":  inifile.Float(&f.RetryRatio, 0, 100),
 		"retry-window": inifile.Duration(&f.RetryWindow, time.Second, maxDuration),
-		"retry-extra":  inifile.Int(&f.RetryExtra, 0, maxCount),
+		"retry-extra":  inifile.Float(&f.RetryExtra, 0, maxCount),
 		"cold-overrun": inifile.Float(&f.ColdOverrun, 0, 100),
-		"cold-extra":   inifile.Int(&f.ColdExtra, 0, maxCount),
+		"cold-extra":   inifile.Float(&f.ColdExtra, 0, maxCount),
 	}
 }
 
