Upstream, stage calls: heads without end and answers that come twice

Cause: http.ReadResponse reads lines of any length, so that a server that sends bytes without end where a head is due grew the process until the call's deadline. An answer to a stage call bears no id of the call: a second copy of one, late on a kept connection, was taken for the next call's results when the counts agreed, and every later call on that connection got the answer before its own. Ruled out: the same for requests (the id is checked); copies on idle connections (they are looked at before use). Change: a head, with the informational ones before it, is at most 64 KiB. Results are remembered until they expire; an answer with a known one, or that can't be read, ends its connection. Reports and give-ups have connections of their own, so that their copies can't take the place of a stage's results. Tests: TestHeadWithoutEndIsGivenUp failed before (2 to 8 s, memory without bound), TestDiscardedAnswerEndsTheConnection, TestAnswerThatComesAgainIsKnown. Conclusion: both could happen here.

--- a/pkg/daemon/fleet.go
+++ b/pkg/daemon/fleet.go
@@ -156,7 +156,7 @@
 // stageRunner returns what makes stage calls; mayCall and release are nil on a VM that makes calls for itself only.
 func (f *fleetShared) stageRunner(k *kernel.Kernel, mayCall func() bool, release func([]string)) *stagecall.Runner {
 	return stagecall.NewRunner(stagecall.Options{
-		View: stageView{f.state}, Dialect: f.dialect, Pool: f.pool, MayCall: mayCall, Release: release, Log: k.Log().WithName("stages"),
+		View: stageView{f.state}, Dialect: f.dialect, Pool: f.pool, Asides: upstream.NewPool(nil), MayCall: mayCall, Release: release, Log: k.Log().WithName("stages"),
 	})
 }
 
--- a/pkg/stagecall/runner.go
+++ b/pkg/stagecall/runner.go
@@ -54,7 +54,9 @@
 type Options struct {
 	View    View
 	Dialect dialect.Dialect
-	Pool    *upstream.Pool
+	// Pool holds the connections for stage calls, Asides those for reports and give-ups: an answer that comes twice on one
+	// of those must not be taken for a stage's results.
+	Pool, Asides *upstream.Pool
 	// MayCall is asked right before each call; calls wait while it says no. nil allows all.
 	MayCall func() bool
 	// Release gives results of other services up that jobs have read; nil when this VM does it itself.
--- a/pkg/stagecall/scheduler.go
+++ b/pkg/stagecall/scheduler.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/daisyhatch/daisyhatch/pkg/catalog"
+	"github.com/daisyhatch/daisyhatch/pkg/dialect"
 )
 
 // Job is the pieces of one stage of one request.
@@ -126,6 +127,7 @@
 	asked   time.Time
 }
 
+// result is one that a server made. It is remembered until it expires, also when it was given up.
 type result struct {
 	bytes int64
 	until time.Time
@@ -420,11 +422,21 @@
 	for _, h := range handles {
 		if r, ok := st.results[h]; ok {
 			st.held -= r.bytes
-			delete(st.results, h)
+			r.bytes = 0
+			st.results[h] = r
 		}
 	}
 }
 
+// Known reports whether a server made one of the results in an earlier call, within the time that results last.
+func (s *Scheduler) Known(server string, results []dialect.PieceResult) bool {
+	st := s.state(server)
+	return slices.ContainsFunc(results, func(r dialect.PieceResult) bool {
+		_, ok := st.results[r.Handle]
+		return r.Handle != "" && ok
+	})
+}
+
 // Retain drops servers that are not in use any more.
 func (s *Scheduler) Retain(servers []Server) {
 	for id, st := range s.servers {
--- a/pkg/stagecall/scheduler_test.go
+++ b/pkg/stagecall/scheduler_test.go
@@ -364,3 +364,24 @@
 		}
 	}
 }
+
+// A server may send its answer to a call twice, and the second copy comes where the next call's answer is due. Its results
+// are known then, also when they were given up meanwhile.
+func TestAnswerThatComesAgainIsKnown(t *testing.T) {
+	s, v := NewScheduler(batch), servers(1)
+	s.Learned("s0", dialect.Room{Least: batch.ResultBytes, Most: batch.ResultBytes}, begin)
+	s.Arrive(job("a", 2, 0, time.Second, 5*time.Second), begin)
+	c, ok := s.Next(v, begin)
+	require.True(t, ok)
+	results := []dialect.PieceResult{{Handle: "10.0.0.1:1/a"}, {Handle: "10.0.0.1:1/b"}}
+	require.False(t, s.Known("s0", results))
+	s.Done(&c, Outcome{Handles: [][]string{{results[0].Handle, results[1].Handle}}}, begin.Add(200*time.Millisecond))
+	require.True(t, s.Known("s0", results))
+	s.Freed("s0", []string{results[0].Handle, results[1].Handle})
+	require.True(t, s.Known("s0", results))
+	require.False(t, s.Known("s0", []dialect.PieceResult{{Reason: dialect.ReasonRoom}, {Handle: "10.0.0.1:1/c"}}))
+	require.Zero(t, s.state("s0").held)
+	s.state("s0").forget(begin.Add(batch.ResultTTL+time.Second), batch.ResultTTL)
+	require.Empty(t, s.state("s0").results, "what has expired is forgotten")
+	require.Zero(t, s.state("s0").held)
+}
--- a/pkg/stagecall/send.go
+++ b/pkg/stagecall/send.go
@@ -61,9 +61,25 @@
 	if err == nil && len(results) != len(pieces) {
 		err = dialect.ErrFormat
 	}
+	if err == nil && p.repeated(c.Server.ID, results) {
+		err = errRepeated
+	}
+	if err != nil {
+		a.Discard()
+	}
 	return results, err
 }
 
+// errRepeated means that a server sent an earlier answer once more; the one to the call may come behind it.
+var errRepeated = errors.New("stagecall: the answer holds results of an earlier call")
+
+// repeated reports whether a result is known from an earlier call. Answers to stage calls bear no id of the call.
+func (p *pool) repeated(server string, results []dialect.PieceResult) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sched.Known(server, results)
+}
+
 // ask asks a server for its free room.
 func (p *pool) ask(v Server) {
 	free, err := p.runner.askRoom(v)
@@ -87,7 +103,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), roomPatience)
 	defer cancel()
 	method, path := d.StageReport()
-	a, err := r.opts.Pool.Do(ctx, upstream.Call{
+	a, err := r.opts.Asides.Do(ctx, upstream.Call{
 		Address: v.Address, Method: method, Target: path, Host: v.Address, Header: d.TargetHeader(v.ID, roomPatience),
 	})
 	if err != nil {
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -53,6 +53,9 @@
 	dialTimeout = 1200 * time.Millisecond
 	// silenceTimeout is how long sent bytes may stay unacknowledged before the connection is given up.
 	silenceTimeout = 2 * time.Second
+	// maxHead bounds an answer's head in bytes, those of informational answers before it included; a server in trouble
+	// sends bytes without end.
+	maxHead = 64 << 10
 	// maxStrays is how many answers to earlier calls are skipped on a connection.
 	maxStrays = 2
 	// maxStrayBody bounds a skipped answer's body in bytes.
@@ -94,8 +97,14 @@
 	Length int64
 	// Delimited is false when the body ends with the connection.
 	Delimited bool
+
+	call *exchange
 }
 
+// Discard keeps the connection from being used again: what was read was not the answer, which may still come. Close is
+// needed all the same.
+func (a *Answer) Discard() { a.call.keep = 0 }
+
 // Pool keeps connections to backend servers. It is safe for concurrent use.
 type Pool struct {
 	dial func(ctx context.Context, address string) (net.Conn, error)
@@ -130,11 +139,37 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
+	source  *source
 	since   time.Time
 	until   time.Time
 	used    bool
 }
 
+// source reads from a connection; while a head is read, no more than left bytes.
+type source struct {
+	net.Conn
+	inHead bool
+	left   int
+}
+
+// Read implements io.Reader.
+func (s *source) Read(b []byte) (int, error) {
+	if !s.inHead {
+		return s.Conn.Read(b)
+	}
+	if s.left <= 0 {
+		return 0, fmt.Errorf("%w: a head of more than %d bytes", ErrAnswer, maxHead)
+	}
+	n, err := s.Conn.Read(b[:min(len(b), s.left)])
+	s.left -= n
+	return n, err
+}
+
+// head bounds what is read until body is called.
+func (s *source) head() { s.inHead, s.left = true, maxHead }
+
+func (s *source) body() { s.inHead = false }
+
 // Dials returns how many connections were made.
 func (p *Pool) Dials() uint64 {
 	p.mu.Lock()
@@ -229,7 +264,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, bufferBytes)}, nil
+	src := &source{Conn: c}
+	return &conn{Conn: c, address: address, source: src, reader: bufio.NewReaderSize(src, bufferBytes)}, nil
 }
 
 // Do makes a call and returns once the answer's head is there. When ctx ends, the connection is closed, also while the
@@ -323,6 +359,7 @@
 
 // read reads heads until one belongs to the call.
 func (x *exchange) read(call *Call) (*Answer, error) {
+	x.conn.source.head()
 	for stray := 0; ; {
 		res, err := http.ReadResponse(x.conn.reader, &http.Request{Method: call.Method}) //nolint:bodyclose // closed with the Answer
 		if err != nil {
@@ -331,6 +368,7 @@
 		if res.StatusCode < http.StatusOK && res.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
+		x.conn.source.body()
 		if call.Owns == nil || call.Owns(res.Header) {
 			return x.answer(res), nil
 		}
@@ -339,6 +377,7 @@
 		if err != nil || n == maxStrayBody || stray > maxStrays || res.Close {
 			return nil, fmt.Errorf("%w: %d answers to other calls", ErrAnswer, stray)
 		}
+		x.conn.source.head()
 	}
 }
 
@@ -346,7 +385,7 @@
 	x.body = res.Body
 	x.keep = keepFor(res)
 	delimited := res.ContentLength >= 0 || len(res.TransferEncoding) > 0
-	return &Answer{Status: res.StatusCode, Header: res.Header, Body: x, Length: res.ContentLength, Delimited: delimited}
+	return &Answer{Status: res.StatusCode, Header: res.Header, Body: x, Length: res.ContentLength, Delimited: delimited, call: x}
 }
 
 // keepFor returns how long the connection may be kept behind an answer; 0 closes it.
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -226,3 +227,60 @@
 		require.Equal(t, want, got, v)
 	}
 }
+
+// pours writes a start and then the same bytes without end, until the caller closes; it counts what was taken.
+func pours(t *testing.T, start, rest string, taken *atomic.Int64) string {
+	return peer(t, func(c net.Conn, r *bufio.Reader) {
+		takeRequest(r)
+		block := strings.Repeat(rest, 1+4096/len(rest))
+		for next := start + block; ; next = block {
+			n, err := io.WriteString(c, next)
+			taken.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	})
+}
+
+// A server in trouble may send bytes without end where a head is due. The call must end soon and hold little memory.
+func TestHeadWithoutEndIsGivenUp(t *testing.T) {
+	for name, c := range map[string]struct{ start, rest string }{
+		"no line":       {"", "x"},
+		"status line":   {"HTTP/1.1 200 ", "O"},
+		"header value":  {"HTTP/1.1 200 OK\r\nA: ", "b"},
+		"header lines":  {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		"informational": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var taken atomic.Int64
+			begin := time.Now()
+			_, err := get(t, NewPool(nil), call(pours(t, c.start, c.rest, &taken)))
+			requireSent(t, err, true)
+			require.Less(t, time.Since(begin), time.Second)
+			require.Less(t, taken.Load(), int64(16<<20), "what the sockets hold is part of it")
+		})
+	}
+}
+
+// A connection whose answer was not the caller's is never used again, since the right one may still come on it.
+func TestDiscardedAnswerEndsTheConnection(t *testing.T) {
+	address := peer(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			if _, ok := takeRequest(r); !ok {
+				return
+			}
+			_, _ = io.WriteString(c, okAnswer)
+		}
+	})
+	p := NewPool(nil)
+	a, err := p.Do(t.Context(), call(address))
+	require.NoError(t, err)
+	_, err = io.ReadAll(a.Body)
+	require.NoError(t, err)
+	a.Discard()
+	require.NoError(t, a.Body.Close())
+	_, err = get(t, p, call(address))
+	require.NoError(t, err)
+	require.EqualValues(t, 2, p.Dials())
+}
