Stage calls: without control VMs entry VMs call alone at a pace, and the rest waits

Change: AloneRate and Pace admit jobs at four fifths of the servers' time over all VMs; SpreadFor begins at different servers; the others wait for an owner, for half of their time and 3 s at most, and are refused then with a time to come back. Tests: 3 s without control VMs at 7 to 295 VMs fit into the servers' time and queues; 295 VMs begin at 42 servers.

--- a/pkg/daemon/fleet.go
+++ b/pkg/daemon/fleet.go
@@ -155,8 +155,12 @@
 
 // stageRunner returns what makes stage calls; mayCall and release are nil on a VM that makes calls for itself only.
 func (f *fleetShared) stageRunner(k *kernel.Kernel, mayCall func() bool, release func([]string)) *stagecall.Runner {
+	view := stageView{State: f.state}
+	if mayCall == nil {
+		view.vm = f.settings.VM.Name
+	}
 	return stagecall.NewRunner(stagecall.Options{
-		View: stageView{f.state}, Dialect: f.dialect, Pool: f.pool, Asides: upstream.NewPool(nil), MayCall: mayCall, Release: release, Log: k.Log().WithName("stages"),
+		View: view, Dialect: f.dialect, Pool: f.pool, Asides: upstream.NewPool(nil), MayCall: mayCall, Release: release, Log: k.Log().WithName("stages"),
 	})
 }
 
@@ -201,8 +205,21 @@
 	return errors.Join(err, f.node.Stop(ctx))
 }
 
+// aloneRate is how many jobs of a service this VM may have made alone in a second; see stagecall.AloneRate.
+func (f *fleetEntry) aloneRate(service string, now time.Time) float64 {
+	set := f.state.Catalog()
+	if set == nil || set.Services[service] == nil || set.Services[service].Batch == nil {
+		return 0
+	}
+	return stagecall.AloneRate(*set.Services[service].Batch, len(f.state.Serving(service, now)), len(f.state.Entries(now)))
+}
+
 // stageView shows the State to the stage runner.
-type stageView struct{ *fleet.State }
+type stageView struct {
+	*fleet.State
+	// vm is set on a VM that makes calls for itself only.
+	vm string
+}
 
 // Serving implements stagecall.View.
 func (v stageView) Serving(service string, now time.Time) []stagecall.Server {
@@ -210,6 +227,9 @@
 	for _, c := range v.State.Serving(service, now) {
 		out = append(out, stagecall.Server{ID: c.ID, Address: c.Address, Domain: c.Domain, Quiet: c.Quiet})
 	}
+	if v.vm != "" {
+		stagecall.SpreadFor(v.vm, out)
+	}
 	return out
 }
 
@@ -349,7 +369,11 @@
 	s := f.settings.Fleet
 	f.relay = relay.New(relay.Options{
 		VM: f.settings.VM.Name, FailureDomain: f.settings.VM.FailureDomain, Dialect: f.dialect, Knowledge: f.state,
-		Stages: stageclient.New(f.state, w.follower.Heard, w.client, f.stageRunner(k, nil, nil), k.Log().WithName("stages")), Pool: f.pool,
+		Stages: stageclient.New(stageclient.Options{
+			Known: f.state, Heard: w.follower.Heard, HTTP: w.client, Local: f.stageRunner(k, nil, nil), Rate: f.aloneRate,
+			Log: k.Log().WithName("stages"),
+		}),
+		Pool:        f.pool,
 		Repeats:     allowance.NewRepeats(s.RetryRatio, s.RetryExtra, s.RetryWindow),
 		ColdOverrun: s.ColdOverrun, ColdExtra: s.ColdExtra, Log: k.Log().WithName("relay"),
 	})
--- /dev/null
+++ b/pkg/stagecall/alone_test.go
@@ -0,0 +1,63 @@
+package stagecall
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/daisyhatch/daisyhatch/pkg/dialect"
+)
+
+// Replays three seconds without control VMs at which each VM has more jobs than it may have made: together they ask for no
+// more than the servers work on and queue, and for most of it.
+func TestVMsThatCallAloneFitIntoTheServers(t *testing.T) {
+	const span = 3 * time.Second
+	for _, vms := range []int{7, 18, 68, 295} {
+		for _, n := range []int{3, 42} {
+			admitted := 0
+			for vm := range vms {
+				var p Pace
+				for at := time.Duration(0); at < span; at += 50 * time.Millisecond {
+					if p.Take(AloneRate(batch, n, vms), (float64(vm)+0.5)/float64(vms), begin.Add(at)) {
+						admitted++
+					}
+				}
+			}
+			places := float64(n*batch.Slots) * span.Seconds() / batch.CallTime(1).Seconds()
+			require.LessOrEqual(t, float64(admitted), places+float64(vms)/2+float64(n), "%d VMs, %d servers", vms, n)
+			require.Greater(t, float64(admitted), places/2, "%d VMs, %d servers", vms, n)
+		}
+	}
+	require.Zero(t, AloneRate(batch, 42, 0), "the other VMs are not known")
+}
+
+func TestPaceBeginsAnewAfterALongTime(t *testing.T) {
+	var p Pace
+	require.True(t, p.Take(1, 0.9, begin))
+	require.False(t, p.Take(0, 0.9, begin.Add(time.Second)))
+	require.True(t, p.Take(0, 0.9, begin.Add(time.Second+aloneForgotten+1)))
+}
+
+// Replays the first calls of 295 VMs that lost all control VMs at once: their first choices spread over the servers.
+func TestVMsThatCallAloneBeginAtDifferentServers(t *testing.T) {
+	first := map[string]int{}
+	for vm := range 295 {
+		v := servers(42)
+		SpreadFor(fmt.Sprint("entry-", vm), v)
+		s := NewScheduler(batch)
+		s.Arrive(job("j", 1, 0, time.Second, 5*time.Second), begin)
+		s.Unasked(v, begin)
+		for _, x := range v {
+			s.Learned(x.ID, dialect.Room{Least: batch.ResultBytes, Most: batch.ResultBytes}, begin)
+		}
+		c, ok := s.Next(v, begin)
+		require.True(t, ok)
+		first[c.Server.ID]++
+	}
+	require.Len(t, first, 42)
+	for id, n := range first {
+		require.Less(t, n, 3*295/42, "VMs that begin at %s", id)
+	}
+}
--- a/pkg/stageclient/stageclient.go
+++ b/pkg/stageclient/stageclient.go
@@ -5,7 +5,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -36,22 +38,50 @@
 	heard func() bool
 	http  *http.Client
 	local *stagecall.Runner
+	// rate is how many jobs of a service this VM may have made alone in a second.
+	rate func(service string, now time.Time) float64
+	// start is this VM's place among those that begin to call alone together.
+	start float64
 	// freer gives results up.
 	freer *Freer
 	log   logr.Logger
+
+	mu sync.Mutex
+	// alone admits the jobs of each service that are made alone.
+	alone map[string]*stagecall.Pace
 }
 
 const (
 	// ownerPause is the pause before an owner that could not be reached is asked again: a restart takes a second.
 	ownerPause = 100 * time.Millisecond
-	// ownerWait is how long a job may wait for an owner: a lost one is replaced within a second, after an election in two.
-	ownerWait = 1500 * time.Millisecond
+	// ownerWait is how long a job may wait for an owner: a lost one is replaced within a second; when all control VMs stop
+	// at once, they are back within two and have a leader within three. No job waits for more than ownerWaitShare of its
+	// time, so that its caller can still come back.
+	ownerWait      = 3 * time.Second
+	ownerWaitShare = 0.5
+	// ownerRetry is when a caller may come back whose job found no owner.
+	ownerRetry = 1500 * time.Millisecond
 )
 
-// New returns a Client. local makes the calls of this VM's requests alone while no control VM is heard: in smaller calls,
-// but the requests are served.
-func New(known Knowledge, heard func() bool, h *http.Client, local *stagecall.Runner, log logr.Logger) *Client {
-	return &Client{known: known, heard: heard, http: h, local: local, freer: NewFreer(known, "", h, local, log), log: log}
+// Options are what a Client is made from.
+type Options struct {
+	Known Knowledge
+	// Heard reports whether any control VM is heard.
+	Heard func() bool
+	HTTP  *http.Client
+	// Local makes calls for this VM's requests alone while no control VM is heard: smaller ones, and no more jobs of a
+	// service in a second than Rate says.
+	Local *stagecall.Runner
+	Rate  func(service string, now time.Time) float64
+	Log   logr.Logger
+}
+
+// New returns a Client.
+func New(o Options) *Client {
+	return &Client{
+		known: o.Known, heard: o.Heard, http: o.HTTP, local: o.Local, rate: o.Rate,
+		start: rand.Float64(), alone: make(map[string]*stagecall.Pace), freer: NewFreer(o.Known, "", o.HTTP, o.Local, o.Log), log: o.Log,
+	}
 }
 
 // Errors that end a call to an owner.
@@ -65,7 +95,7 @@
 // Run implements relay.Stages. A job whose owner can't be reached is tried again, at the owner that the group names by
 // then.
 func (c *Client) Run(ctx context.Context, q relay.StageRequest) ([]relay.StageResult, error) {
-	begin := time.Now()
+	patience := time.Now().Add(min(ownerWait, time.Duration(ownerWaitShare*float64(time.Until(q.Deadline)))))
 	for {
 		owner, changed := c.known.StageOwner(q.Service)
 		if owner.Address != "" {
@@ -78,14 +108,14 @@
 				"term", owner.Term, "reason", err.Error())
 		}
 		switch now := time.Now(); {
-		case !c.heard():
+		case !c.heard() && c.mayRunAlone(q.Service, now):
 			res, err := c.local.Run(ctx, request(q, 0), q.InputsRead)
 			if err != nil {
 				return nil, fmt.Errorf("stageclient: %w", err)
 			}
 			return c.results(res)
-		case now.Sub(begin) > ownerWait:
-			return nil, &relay.StageRefused{RetryAfter: ownerWait, Reason: "no control VM forms the calls of the service now"}
+		case now.After(patience):
+			return nil, &relay.StageRefused{RetryAfter: ownerRetry, Reason: "no control VM forms the calls of the service now"}
 		}
 		select {
 		case <-ctx.Done():
@@ -96,6 +126,19 @@
 	}
 }
 
+// mayRunAlone admits a job of a service to be made by this VM itself.
+func (c *Client) mayRunAlone(service string, now time.Time) bool {
+	rate := c.rate(service, now)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.alone[service]
+	if p == nil {
+		p = &stagecall.Pace{}
+		c.alone[service] = p
+	}
+	return p.Take(rate, c.start, now)
+}
+
 // runAt has a job done by an owner. A new owner that did not take over in order ends the wait.
 func (c *Client) runAt(ctx context.Context, o stageowner.Owner, q relay.StageRequest) ([]relay.StageResult, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/pkg/stageclient/stageclient_test.go
+++ b/pkg/stageclient/stageclient_test.go
@@ -92,7 +92,12 @@
 
 func newClient(k *knowledge, heard bool) *Client {
 	local := stagecall.NewRunner(stagecall.Options{View: noServices{}, Log: logr.Discard()})
-	return New(k, func() bool { return heard }, http.DefaultClient, local, logr.Discard())
+	c := New(Options{
+		Known: k, Heard: func() bool { return heard }, HTTP: http.DefaultClient, Local: local,
+		Rate: func(string, time.Time) float64 { return 0 }, Log: logr.Discard(),
+	})
+	c.start = 0.6 // one job at once
+	return c
 }
 
 func job() relay.StageRequest {
@@ -157,7 +162,8 @@
 	require.EqualValues(t, 1, second.jobs.Load())
 }
 
-// While control VMs are heard and no owner can be reached, a job is refused in time rather than made alone.
+// While control VMs are heard and no owner can be reached, a job is refused in time rather than made alone: its caller has
+// half of the time left to come back.
 func TestJobWithoutAnOwnerIsRefusedWhileControlVMsAreHeard(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -166,16 +172,28 @@
 	for name, o := range map[string]stageowner.Owner{"none": {}, "gone": {Address: gone, Term: 1}} {
 		t.Run(name, func(t *testing.T) {
 			begin := time.Now()
-			_, err := newClient(known(o), true).Run(context.Background(), job())
+			q := job()
+			q.Deadline = begin.Add(2 * time.Second)
+			_, err := newClient(known(o), true).Run(context.Background(), q)
 			var refused *relay.StageRefused
 			require.True(t, errors.As(err, &refused), "%v", err)
-			require.Less(t, time.Since(begin), ownerWait+time.Second)
+			require.Less(t, time.Since(begin), 1500*time.Millisecond)
 			require.Positive(t, refused.RetryAfter)
 		})
 	}
 }
 
-func TestVMThatHearsNoControlVMMakesCallsAlone(t *testing.T) {
-	_, err := newClient(known(stageowner.Owner{}), false).Run(context.Background(), job())
+// A VM that hears no control VM makes its share of calls alone; what goes beyond waits for an owner.
+func TestVMThatHearsNoControlVMMakesItsShareAlone(t *testing.T) {
+	k := known(stageowner.Owner{})
+	c := newClient(k, false)
+	_, err := c.Run(context.Background(), job())
 	require.ErrorIs(t, err, stagecall.ErrUnknownService)
+	back := &control{run: made}
+	time.AfterFunc(200*time.Millisecond, func() {
+		k.LearnOwner(stageowner.Owner{Service: "s", Address: back.start(t), Term: 1})
+	})
+	_, err = c.Run(context.Background(), job())
+	require.NoError(t, err)
+	require.EqualValues(t, 1, back.jobs.Load())
 }
