Stage calls: inputs stay until a piece that may find no room has its result

Cause: inputs were given up 100 ms into a call. A piece that the server had no room for is sent again and finds its inputs gone, so that all stages before it run once more. Ruled out: expired inputs (the calls that follow a change of owners are no later than others); counting on the lower end of the room that a server tells (the check that a server's word is a least bound stands). Change: while a server holds other VMs' results, or had no room within 2 s, the end of its call gives the inputs up. A server counts as roomy when two usual calls fit.

--- a/pkg/stagecall/pool.go
+++ b/pkg/stagecall/pool.go
@@ -195,10 +195,14 @@
 	p.dispatch()
 }
 
-// inputsRead notes that a call which has not ended has read its inputs.
+// inputsRead notes that a call which has not ended has read its inputs. Pieces for which the server may have no room are
+// sent again and need them still; the call's end tells.
 func (p *pool) inputsRead(c *Call) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.sched.RoomCertain(c.Server.ID, time.Now()) {
+		return
+	}
 	c.inputsRead = true
 	for _, part := range c.Parts {
 		w := part.Job.owner
--- a/pkg/stagecall/room.go
+++ b/pkg/stagecall/room.go
@@ -14,6 +14,9 @@
 	roomStale = 2 * time.Second
 	// roomPatience is how long a server is left alone until it answers; it lies milliseconds away.
 	roomPatience = 300 * time.Millisecond
+	// roomDoubt is how long a server that had no room may have none again: results of calls that another VM made last for
+	// seconds.
+	roomDoubt = 2 * time.Second
 	// foreignInterval is how often a server is asked while it holds results of other VMs' calls: about a call's time.
 	foreignInterval = 400 * time.Millisecond
 )
@@ -72,8 +75,15 @@
 	return int64(float64(s.batch.ResultBytes)*roomMargin) - st.held - st.foreign
 }
 
-// Roomy reports whether more than half of a server's room is free.
+// Roomy reports whether a server has room for two usual calls.
 func (s *Scheduler) Roomy(server string) bool {
 	st := s.servers[server]
-	return st != nil && st.held+st.foreign < s.batch.ResultBytes/2
+	return st != nil && s.room(st) >= int64(2*s.usualBytes)
+}
+
+// RoomCertain reports whether a server is known to have the room that its calls need: it holds no results of other VMs'
+// calls, and had room lately.
+func (s *Scheduler) RoomCertain(server string, now time.Time) bool {
+	st := s.servers[server]
+	return st == nil || st.foreign == 0 && now.Sub(st.roomless) > roomDoubt
 }
--- a/pkg/stagecall/scheduler.go
+++ b/pkg/stagecall/scheduler.go
@@ -146,6 +146,8 @@
 	// filled is the average count of pieces of calls that left pieces waiting: below the size of a call where results take
 	// all room.
 	filled float64
+	// usualBytes is the average size of a call's results.
+	usualBytes float64
 }
 
 type arrival struct {
@@ -321,7 +323,8 @@
 	st := s.state(v.ID)
 	st.forget(now, s.batch.ResultTTL)
 	left := s.batch.Size
-	room := s.room(st)
+	before := s.room(st)
+	room := before
 	kept := s.jobs[:0]
 	for _, j := range s.jobs {
 		n := 0
@@ -341,6 +344,9 @@
 	}
 	clear(s.jobs[len(kept):])
 	s.jobs = kept
+	if len(c.Parts) > 0 {
+		s.usualBytes += filledSmoothing * (float64(before-room) - s.usualBytes)
+	}
 	return c
 }
 
