Fleet: a new owner of stage calls is told at once

Cause: a change of owners did not wake the streams to followers, so that entry VMs heard of it with the next heartbeat, up to 400 ms later; their jobs waited for it. Ruled out: the plan's interval (100 ms), the commit (milliseconds). Change: an owner with a higher term wakes the followers. Tests: TestNewOwnerIsNews failed before.

--- a/pkg/fleet/owners_test.go
+++ b/pkg/fleet/owners_test.go
@@ -35,3 +35,22 @@
 	_, ok = c.owns("s", 1)
 	require.True(t, ok, "the caller has yet to hear of the change")
 }
+
+// Followers must hear of a new owner at once, not with the next heartbeat: their jobs wait for it.
+func TestNewOwnerIsNews(t *testing.T) {
+	state := NewState()
+	news := state.Changed()
+	state.learnOwners([]stageowner.Owner{{Service: "s", Address: "a", Term: 1}})
+	select {
+	case <-news:
+	default:
+		t.Fatal("followers wait for the next heartbeat")
+	}
+	news = state.Changed()
+	state.learnOwners([]stageowner.Owner{{Service: "s", Address: "a", Term: 1}})
+	select {
+	case <-news:
+		t.Fatal("nothing has changed")
+	default:
+	}
+}
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -328,6 +328,7 @@
 	if changed {
 		close(s.ownersWake)
 		s.ownersWake = make(chan struct{})
+		s.signal()
 	}
 }
 
