Fleet: control VMs that are back are found soon; entry VMs get changes ten times a second at most

Cause: when all control VMs had failed an entry VM tried the first two of its order again and again; if these stayed down, the others were tried 3 s later. After a restart of all VMs 2,998 servers announce themselves within seconds, and each change goes to each stream each 20 ms: 5,900 messages a second at a control VM with 118 streams. Ruled out: an order without hash (streams would not spread). Change: among those that failed, the one that failed first is next; entry VMs get updates 100 ms apart, control VMs 20 ms. Tests: TestControlVMsThatAreBackAreFoundSoon failed before.

--- a/pkg/fleet/control.go
+++ b/pkg/fleet/control.go
@@ -50,8 +50,10 @@
 	// followHeartbeat is the longest silence on a follow stream. News go out at once; the heartbeat only tells that the
 	// stream is sound.
 	followHeartbeat = 400 * time.Millisecond
-	// followBatch is the pause after an update, so that changes that come together go out together.
-	followBatch = 20 * time.Millisecond
+	// followBatch is the pause after an update to an entry VM, so that changes that come together go out together: after a
+	// restart of all VMs thousands of servers announce themselves within seconds. peerBatch is the same between control VMs.
+	followBatch = 100 * time.Millisecond
+	peerBatch   = 20 * time.Millisecond
 	// refreshInterval is how often followers hear that servers are still there: a third of what a silent one is kept.
 	refreshInterval = 5 * time.Second
 	// rosterRefresh is how often followers hear of the control VMs when nothing changed: a third of rosterKept.
--- a/pkg/fleet/feed.go
+++ b/pkg/fleet/feed.go
@@ -25,9 +25,9 @@
 	if a := req.Msg.GetPeerAddress(); a != "" {
 		c.opts.Roster.Name([]string{a}, time.Now())
 	}
-	f := &feed{control: c, refresh: refreshInterval, peer: req.Msg.GetPeerAddress() != ""}
+	f, pause := &feed{control: c, refresh: refreshInterval, peer: req.Msg.GetPeerAddress() != ""}, followBatch
 	if f.peer {
-		f.refresh = peerRefreshInterval
+		f.refresh, pause = peerRefreshInterval, peerBatch
 	}
 	tick := time.NewTicker(followHeartbeat)
 	defer tick.Stop()
@@ -39,7 +39,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(followBatch):
+		case <-time.After(pause):
 		}
 		select {
 		case <-ctx.Done():
--- a/pkg/fleet/follower.go
+++ b/pkg/fleet/follower.go
@@ -127,13 +127,14 @@
 	}
 	list := make([]streamState, 0, len(addresses))
 	for _, a := range addresses {
-		s := streamState{address: a, avoided: now.Before(f.avoided[a])}
+		s := streamState{address: a, avoided: max(0, f.avoided[a].Sub(now))}
 		if src := f.sources[a]; src != nil {
 			s.open = true
 			s.confirmed = !src.since.IsZero() && now.Sub(src.current) < confirmedFor
 			s.failing = !s.confirmed && now.Sub(src.opened) > probation && now.Sub(src.current) > probation
+			s.avoided = 0
 			if s.failing {
-				f.avoided[a] = now.Add(avoidFor)
+				f.avoided[a], s.avoided = now.Add(avoidFor), avoidFor
 			}
 		}
 		list = append(list, s)
--- a/pkg/fleet/streams.go
+++ b/pkg/fleet/streams.go
@@ -27,12 +27,15 @@
 	address string
 	// open is true while the stream stands or is being opened, confirmed while the control VM is in touch with the group.
 	open, confirmed bool
-	// failing is true when it has not been confirmed for too long, avoided when it failed a moment ago.
-	failing, avoided bool
+	// failing is true when it has not been confirmed for too long.
+	failing bool
+	// avoided is for how much longer it is left out while there are others, since it failed; 0 when it is not.
+	avoided time.Duration
 }
 
 // chooseStreams returns the followStreams control VMs that an entry VM follows: those that are confirmed, then those on
-// probation, then others, in an order that differs from VM to VM, so that the streams spread.
+// probation, then others, in an order that differs from VM to VM, so that the streams spread. When all have failed, the one
+// that failed first is tried next: two that stay down must not keep a VM from those that are back.
 func chooseStreams(vm string, all []streamState) []string {
 	rank := func(s streamState) uint64 { return xxhash.Sum64String(vm + "\x00" + s.address) }
 	class := func(s streamState) int {
@@ -41,13 +44,15 @@
 			return 0
 		case s.open && !s.failing:
 			return 1
-		case s.avoided || s.failing:
+		case s.avoided > 0 || s.failing:
 			return 3
 		}
 		return 2
 	}
 	slices.SortFunc(all, func(a, b streamState) int {
-		return cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(rank(a), rank(b)), cmp.Compare(a.address, b.address))
+		return cmp.Or(
+			cmp.Compare(class(a), class(b)), cmp.Compare(a.avoided, b.avoided), cmp.Compare(rank(a), rank(b)), cmp.Compare(a.address, b.address),
+		)
 	})
 	out := make([]string, 0, followStreams)
 	for _, s := range all[:min(followStreams, len(all))] {
--- a/pkg/fleet/streams_test.go
+++ b/pkg/fleet/streams_test.go
@@ -49,12 +49,12 @@
 			case 2:
 				s.open, s.failing = true, true
 			case 3:
-				s.avoided = true
+				s.avoided = time.Duration(rapid.Int64Range(1, int64(avoidFor)).Draw(t, "avoided"))
 			}
 		}
 		better := 0
 		for _, s := range list {
-			if !s.failing && !s.avoided {
+			if !s.failing && s.avoided == 0 {
 				better++
 			}
 		}
@@ -68,7 +68,7 @@
 			if list[k].confirmed {
 				kept++
 			}
-			if (list[k].avoided || list[k].failing) && better >= followStreams {
+			if (list[k].avoided > 0 || list[k].failing) && better >= followStreams {
 				t.Fatalf("%s failed a moment ago, and there are %d others: %v", a, better, list)
 			}
 		}
@@ -78,6 +78,32 @@
 	})
 }
 
+// Replays a stop of all control VMs of which two stay down: whatever two a VM prefers, it finds the others with its next
+// tries, a tenth of a second each.
+func TestControlVMsThatAreBackAreFoundSoon(t *testing.T) {
+	for vm := range 50 {
+		name, all := fmt.Sprint("entry-", vm), controls(5)
+		avoided := make(map[string]time.Time)
+		now := time.Unix(1000, 0)
+		down := chooseStreams(name, slices.Clone(all))
+		for tries := 0; ; tries++ {
+			require.Less(t, tries, 6, "%s does not find a control VM", name)
+			list := controls(5)
+			for i := range list {
+				list[i].avoided = max(0, avoided[list[i].address].Sub(now))
+			}
+			chosen := chooseStreams(name, list)
+			if tries >= 3 && !slices.Contains(down, chosen[0]) {
+				break
+			}
+			for _, a := range chosen {
+				avoided[a] = now.Add(avoidFor)
+			}
+			now = now.Add(followRetry)
+		}
+	}
+}
+
 // What 300 VMs hear of 300 must not grow with each change by all: a change costs its own ids.
 func TestEntryVMsAreToldByTheirChanges(t *testing.T) {
 	now := time.Unix(1000, 0)
