Relay: a line for each send that ended without an answer

Callers and operators saw servers end one after the other and could not tell under which request: the request's line names the servers tried, but not how each send ended, and a request that was answered in the end bears no reason.

The new line bears the request's fingerprint (organisation, host, path, body: what a repeat by the caller has in common with the first), the server's incarnation, and what was found at its address next: ended, reachable, leaving or silent. The look costs one connection for each send that got no answer, kept for the next call; it runs beside the request and decides nothing. The fingerprint is the one of the product's other path, moved to pkg/suspect.

--- a/pkg/executor/claim.go
+++ b/pkg/executor/claim.go
@@ -12,6 +12,7 @@
 	"github.com/daisyhatch/daisyhatch/pkg/apierr"
 	"github.com/daisyhatch/daisyhatch/pkg/dispatch"
 	"github.com/daisyhatch/daisyhatch/pkg/engine"
+	"github.com/daisyhatch/daisyhatch/pkg/suspect"
 )
 
 // Timeouts of the claim ledger.
@@ -37,7 +38,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.base, r.req.Deadline.Add(-claimMargin))
 	defer cancel()
-	hash := Fingerprint(r.req.Organisation, r.req.Plan.Name, r.req.Body)
+	hash := suspect.Fingerprint(r.req.Organisation, r.req.Plan.Name, r.req.Body)
 	c, err := ledger.Claim(ctx, r.claimKey(), hash, r.req.Deadline)
 	if r.post(func(now time.Time) []action { return r.m.claimed(now, c, err) }) {
 		return
--- a/pkg/executor/poison_test.go
+++ b/pkg/executor/poison_test.go
@@ -17,6 +17,7 @@
 	"github.com/daisyhatch/daisyhatch/pkg/apierr"
 	"github.com/daisyhatch/daisyhatch/pkg/executor"
 	"github.com/daisyhatch/daisyhatch/pkg/quarantine"
+	"github.com/daisyhatch/daisyhatch/pkg/suspect"
 )
 
 const poisonMark = "poison"
@@ -125,7 +126,7 @@
 		lost += n
 	}
 	assert.LessOrEqual(t, lost, maxServersLost)
-	shared.checkConvicted(t, executor.Fingerprint("huts", "chat", []byte(`{"messages":[{"role":"user","content":"#poison#`+w.padding()+`"}]}`)))
+	shared.checkConvicted(t, suspect.Fingerprint("huts", "chat", []byte(`{"messages":[{"role":"user","content":"#poison#`+w.padding()+`"}]}`)))
 	for _, e := range entries {
 		require.NoError(t, e.Wait(t.Context()))
 	}
--- a/pkg/executor/run.go
+++ b/pkg/executor/run.go
@@ -7,14 +7,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/daisyhatch/daisyhatch/pkg/apierr"
 	"github.com/daisyhatch/daisyhatch/pkg/cost"
 	"github.com/daisyhatch/daisyhatch/pkg/dispatch"
 	"github.com/daisyhatch/daisyhatch/pkg/engine"
 	"github.com/daisyhatch/daisyhatch/pkg/quantile"
 	"github.com/daisyhatch/daisyhatch/pkg/retry"
+	"github.com/daisyhatch/daisyhatch/pkg/suspect"
 )
 
 // Executor runs requests. It is safe for concurrent use.
@@ -116,7 +115,7 @@
 		e:      e,
 		req:    &req,
 		sink:   sink,
-		print:  Fingerprint(req.Organisation, req.Plan.Name, req.Body),
+		print:  suspect.Fingerprint(req.Organisation, req.Plan.Name, req.Body),
 		in:     readInput(req.Body),
 		costs:  make([]StageResult, len(req.Plan.Stages)),
 		events: make(chan func(time.Time) []action),
@@ -127,17 +126,6 @@
 	return r
 }
 
-// Fingerprint names a request by its content, for the quarantine of requests that crash servers.
-func Fingerprint(organisation, plan string, body []byte) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(organisation)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(plan)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.Write(body)
-	return d.Sum64()
-}
-
 // loop feeds the machine until the request is finished.
 func (r *run) loop(ctx context.Context) {
 	verdict := dispatch.Clear
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -267,6 +267,13 @@
 	return !out
 }
 
+// Server returns what is known of a server; false when nothing is.
+func (s *State) Server(id string) (directory.Server, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.dir.Get(id)
+}
+
 // since returns the servers of which a stamp is later than the change count given, and the count to ask with next.
 func (s *State) since(count uint64, kind stampKind) ([]directory.Server, uint64) {
 	s.mu.RLock()
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -23,9 +23,11 @@
 	"github.com/daisyhatch/daisyhatch/pkg/allowance"
 	"github.com/daisyhatch/daisyhatch/pkg/catalog"
 	"github.com/daisyhatch/daisyhatch/pkg/dialect"
+	"github.com/daisyhatch/daisyhatch/pkg/directory"
 	"github.com/daisyhatch/daisyhatch/pkg/fleet"
 	"github.com/daisyhatch/daisyhatch/pkg/logsink"
 	"github.com/daisyhatch/daisyhatch/pkg/placement"
+	"github.com/daisyhatch/daisyhatch/pkg/suspect"
 	"github.com/daisyhatch/daisyhatch/pkg/upstream"
 )
 
@@ -37,6 +39,8 @@
 	Number() uint64
 	Serving(service string, now time.Time) []fleet.Candidate
 	Allowed(server string) bool
+	// Server returns what is known of a server; false when nothing is.
+	Server(id string) (directory.Server, bool)
 	// Entries returns the ids of the entry VMs that share bounds.
 	Entries(now time.Time) []uint64
 }
@@ -175,6 +179,8 @@
 	priority     catalog.Priority
 	call         dialect.Call
 	body         []byte
+	// print is the request's fingerprint.
+	print uint64
 
 	inputs *stageInputs
 	// expires is when the results of each stage are gone.
@@ -286,6 +292,7 @@
 		return false
 	}
 	x.body = body
+	x.print = suspect.Fingerprint(x.organisation, x.req.Host+x.req.RequestURI, body)
 	return true
 }
 
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -105,6 +105,9 @@
 	}
 	own := errors.Is(res.err, errNotAllowed) || x.req.Context().Err() != nil
 	x.ended(c, !own, res.ending == endedUnknown)
+	if res.ending == endedUnknown && !own {
+		go x.unanswered(c, res)
+	}
 }
 
 // classify reads what the answer says.
@@ -140,6 +143,7 @@
 		}
 		res.ending, res.err = endedUnknown, err
 		x.ended(c, true, true)
+		go x.unanswered(c, res)
 		return
 	}
 	res.whole = whole
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -96,6 +96,7 @@
 	timeUp := x.ctx.Err() != nil
 	x.ended(c, !timeUp, true)
 	res.ending, res.err = endedUnknown, err
+	go x.unanswered(c, res)
 	switch next(x.situation(res, len(x.tried))) {
 	case stepRepeat:
 		return false
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -42,6 +43,8 @@
 	ErrAnswer = errors.New("upstream: not an answer to this call")
 	// ErrClosed means that the pool is closed.
 	ErrClosed = errors.New("upstream: pool is closed")
+	// ErrRefused means that nothing listens at a server's address.
+	ErrRefused = errors.New("upstream: nothing listens at the address")
 )
 
 const (
@@ -268,6 +271,20 @@
 	return &conn{Conn: c, address: address, source: src, reader: bufio.NewReaderSize(src, bufferBytes)}, nil
 }
 
+// Reach tells whether a server takes connections: nil when it does, ErrRefused when nothing listens at its address, and any
+// other error when neither is certain. A connection that was made is kept for the next call.
+func (p *Pool) Reach(ctx context.Context, address string) error {
+	c, err := p.connect(ctx, address)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return fmt.Errorf("%w: %w", ErrRefused, err)
+	case err != nil:
+		return err
+	}
+	p.put(c, idleDefault)
+	return nil
+}
+
 // Do makes a call and returns once the answer's head is there. When ctx ends, the connection is closed, also while the
 // body is read. Errors are *Error.
 func (p *Pool) Do(ctx context.Context, call Call) (*Answer, error) {
