Relay: a request that ends its servers is refused from the third one on, at every VM

Cause: on the raw request path nothing about a request outlives its exchange. A send that ended without an answer counted against the server only.

Change: the replicated table of suspects serves this path too. quarantine.Tracker is its entry side: a look at the server's address tells one that ended from one that broke a connection, leaves as announced, or is only silent; the latter counts when another incarnation takes its place. The first end is repeated at once, since it is mostly chance; from the second on the VM does not repeat it itself; from the third on every VM refuses it, 503 with the time until it may come back, and 502 when it had been sent. Lists of suspects have a version and go out on the follow streams with two ends or more. A VM that reaches no control VM counts by itself and reports for ten minutes. What clears: being served, on any VM. Ends of several servers under copies that ran at the same time count once, so that the loss of a failure domain convicts nobody. Memory is bounded: flights, 4,096 suspects, 4,096 fingerprints served lately.

Why a part of its own beside quarantine.Quarantine: that one holds each repeat until the report is committed and 500 ms more, and starts nothing while its list is older than 400 ms; half a second is five times the target of this path's shortest requests, and entry VMs that reach nobody go on serving here. Table, reports, fingerprints are shared.

--- a/gen/daisyhatch/v1/daisyhatchv1connect/fleet.connect.go
+++ b/gen/daisyhatch/v1/daisyhatchv1connect/fleet.connect.go
@@ -45,6 +45,12 @@
 	FleetServiceStageRunProcedure = "/daisyhatch.v1.FleetService/StageRun"
 	// FleetServiceStageFreeProcedure is the fully-qualified name of the FleetService's StageFree RPC.
 	FleetServiceStageFreeProcedure = "/daisyhatch.v1.FleetService/StageFree"
+	// FleetServiceReportCrashProcedure is the fully-qualified name of the FleetService's ReportCrash
+	// RPC.
+	FleetServiceReportCrashProcedure = "/daisyhatch.v1.FleetService/ReportCrash"
+	// FleetServiceClearSuspectsProcedure is the fully-qualified name of the FleetService's
+	// ClearSuspects RPC.
+	FleetServiceClearSuspectsProcedure = "/daisyhatch.v1.FleetService/ClearSuspects"
 )
 
 // FleetServiceClient is a client for the daisyhatch.v1.FleetService service.
@@ -54,6 +60,9 @@
 	Relay(context.Context, *connect.Request[v1.RelayRequest]) (*connect.Response[v1.RelayResponse], error)
 	StageRun(context.Context, *connect.Request[v1.StageRunRequest]) (*connect.ServerStreamForClient[v1.StageRunResponse], error)
 	StageFree(context.Context, *connect.Request[v1.StageFreeRequest]) (*connect.Response[v1.StageFreeResponse], error)
+	ReportCrash(context.Context, *connect.Request[v1.ReportCrashRequest]) (*connect.Response[v1.ReportCrashResponse], error)
+	// ClearSuspects tells of suspects that were served.
+	ClearSuspects(context.Context, *connect.Request[v1.ClearSuspectsRequest]) (*connect.Response[v1.ClearSuspectsResponse], error)
 }
 
 // NewFleetServiceClient constructs a client for the daisyhatch.v1.FleetService service. By default,
@@ -97,16 +106,30 @@
 			connect.WithSchema(fleetServiceMethods.ByName("StageFree")),
 			connect.WithClientOptions(opts...),
 		),
+		reportCrash: connect.NewClient[v1.ReportCrashRequest, v1.ReportCrashResponse](
+			httpClient,
+			baseURL+FleetServiceReportCrashProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("ReportCrash")),
+			connect.WithClientOptions(opts...),
+		),
+		clearSuspects: connect.NewClient[v1.ClearSuspectsRequest, v1.ClearSuspectsResponse](
+			httpClient,
+			baseURL+FleetServiceClearSuspectsProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("ClearSuspects")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // fleetServiceClient implements FleetServiceClient.
 type fleetServiceClient struct {
-	join      *connect.Client[v1.JoinRequest, v1.JoinResponse]
-	follow    *connect.Client[v1.FollowRequest, v1.FollowResponse]
-	relay     *connect.Client[v1.RelayRequest, v1.RelayResponse]
-	stageRun  *connect.Client[v1.StageRunRequest, v1.StageRunResponse]
-	stageFree *connect.Client[v1.StageFreeRequest, v1.StageFreeResponse]
+	join          *connect.Client[v1.JoinRequest, v1.JoinResponse]
+	follow        *connect.Client[v1.FollowRequest, v1.FollowResponse]
+	relay         *connect.Client[v1.RelayRequest, v1.RelayResponse]
+	stageRun      *connect.Client[v1.StageRunRequest, v1.StageRunResponse]
+	stageFree     *connect.Client[v1.StageFreeRequest, v1.StageFreeResponse]
+	reportCrash   *connect.Client[v1.ReportCrashRequest, v1.ReportCrashResponse]
+	clearSuspects *connect.Client[v1.ClearSuspectsRequest, v1.ClearSuspectsResponse]
 }
 
 // Join calls daisyhatch.v1.FleetService.Join.
@@ -134,6 +157,16 @@
 	return c.stageFree.CallUnary(ctx, req)
 }
 
+// ReportCrash calls daisyhatch.v1.FleetService.ReportCrash.
+func (c *fleetServiceClient) ReportCrash(ctx context.Context, req *connect.Request[v1.ReportCrashRequest]) (*connect.Response[v1.ReportCrashResponse], error) {
+	return c.reportCrash.CallUnary(ctx, req)
+}
+
+// ClearSuspects calls daisyhatch.v1.FleetService.ClearSuspects.
+func (c *fleetServiceClient) ClearSuspects(ctx context.Context, req *connect.Request[v1.ClearSuspectsRequest]) (*connect.Response[v1.ClearSuspectsResponse], error) {
+	return c.clearSuspects.CallUnary(ctx, req)
+}
+
 // FleetServiceHandler is an implementation of the daisyhatch.v1.FleetService service.
 type FleetServiceHandler interface {
 	Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error)
@@ -141,6 +174,9 @@
 	Relay(context.Context, *connect.Request[v1.RelayRequest]) (*connect.Response[v1.RelayResponse], error)
 	StageRun(context.Context, *connect.Request[v1.StageRunRequest], *connect.ServerStream[v1.StageRunResponse]) error
 	StageFree(context.Context, *connect.Request[v1.StageFreeRequest]) (*connect.Response[v1.StageFreeResponse], error)
+	ReportCrash(context.Context, *connect.Request[v1.ReportCrashRequest]) (*connect.Response[v1.ReportCrashResponse], error)
+	// ClearSuspects tells of suspects that were served.
+	ClearSuspects(context.Context, *connect.Request[v1.ClearSuspectsRequest]) (*connect.Response[v1.ClearSuspectsResponse], error)
 }
 
 // NewFleetServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -180,6 +216,18 @@
 		connect.WithSchema(fleetServiceMethods.ByName("StageFree")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceReportCrashHandler := connect.NewUnaryHandler(
+		FleetServiceReportCrashProcedure,
+		svc.ReportCrash,
+		connect.WithSchema(fleetServiceMethods.ByName("ReportCrash")),
+		connect.WithHandlerOptions(opts...),
+	)
+	fleetServiceClearSuspectsHandler := connect.NewUnaryHandler(
+		FleetServiceClearSuspectsProcedure,
+		svc.ClearSuspects,
+		connect.WithSchema(fleetServiceMethods.ByName("ClearSuspects")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/daisyhatch.v1.FleetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetServiceJoinProcedure:
@@ -192,6 +240,10 @@
 			fleetServiceStageRunHandler.ServeHTTP(w, r)
 		case FleetServiceStageFreeProcedure:
 			fleetServiceStageFreeHandler.ServeHTTP(w, r)
+		case FleetServiceReportCrashProcedure:
+			fleetServiceReportCrashHandler.ServeHTTP(w, r)
+		case FleetServiceClearSuspectsProcedure:
+			fleetServiceClearSuspectsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -220,3 +272,11 @@
 func (UnimplementedFleetServiceHandler) StageFree(context.Context, *connect.Request[v1.StageFreeRequest]) (*connect.Response[v1.StageFreeResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("daisyhatch.v1.FleetService.StageFree is not implemented"))
 }
+
+func (UnimplementedFleetServiceHandler) ReportCrash(context.Context, *connect.Request[v1.ReportCrashRequest]) (*connect.Response[v1.ReportCrashResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("daisyhatch.v1.FleetService.ReportCrash is not implemented"))
+}
+
+func (UnimplementedFleetServiceHandler) ClearSuspects(context.Context, *connect.Request[v1.ClearSuspectsRequest]) (*connect.Response[v1.ClearSuspectsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("daisyhatch.v1.FleetService.ClearSuspects is not implemented"))
+}
--- a/pkg/daemon/fleet.go
+++ b/pkg/daemon/fleet.go
@@ -22,6 +22,7 @@
 	"github.com/daisyhatch/daisyhatch/pkg/fsm"
 	"github.com/daisyhatch/daisyhatch/pkg/kernel"
 	"github.com/daisyhatch/daisyhatch/pkg/listen"
+	"github.com/daisyhatch/daisyhatch/pkg/quarantine"
 	"github.com/daisyhatch/daisyhatch/pkg/relay"
 	"github.com/daisyhatch/daisyhatch/pkg/replica"
 	"github.com/daisyhatch/daisyhatch/pkg/settings"
@@ -66,6 +67,15 @@
 	state   *fleet.State
 	roster  *fleet.Roster
 	pool    *upstream.Pool
+	// suspects are the requests under which servers ended.
+	suspects *quarantine.Tracker
+}
+
+// provideSuspects makes what keeps requests under which servers ended from being sent on.
+func (f *fleetShared) provideSuspects(k *kernel.Kernel, client *http.Client) *fleet.SuspectsReporter {
+	r := fleet.NewSuspectsReporter(f.roster, client)
+	f.suspects = quarantine.NewTracker(quarantine.TrackerOptions{Reporter: r, Clear: r.Clear, Log: k.Log().WithName("suspects")})
+	return r
 }
 
 func (p *process) peerAddress() string { return p.settings.Listen.Peers.String() }
@@ -135,6 +145,7 @@
 		}
 		return nil
 	})
+	reporter := f.provideSuspects(k, p.client)
 	// The stage runner is used only once the control service has started.
 	var freer *stageclient.Freer
 	stages := f.stageRunner(k, func() bool { return f.control.MayFormCalls() }, func(handles []string) { freer.Free(handles) })
@@ -142,8 +153,9 @@
 	f.control = fleet.NewControl(fleet.ControlOptions{
 		VM: f.consensusName(), Address: f.peerAddress(), Incarnation: f.incarnation, LossesBorne: f.settings.Fleet.LossesBorne,
 		Node: f.node, Machine: machine, State: f.state, Roster: f.roster, Parse: f.dialect.Catalog, HTTP: p.client,
-		Log: k.Log().WithName("control"),
+		Suspects: f.suspects.Learn, Log: k.Log().WithName("control"),
 	}, stages)
+	reporter.PreferOwn(f.control)
 	p.handle(f.control.Handler(compressLarge()))
 	r := chi.NewRouter()
 	f.dialect.Operators(r, f.control)
@@ -262,9 +274,13 @@
 		return err
 	}
 	f.kernel, f.client = k, p.client
+	if f.suspects == nil {
+		f.provideSuspects(k, p.client)
+	}
 	o := fleet.FollowerOptions{
 		VM: f.settings.VM.Name, Incarnation: f.incarnation, Entry: f.settings.VM.Entry(), Domain: f.settings.VM.FailureDomain,
-		State: f.state, Roster: f.roster, Parse: f.dialect.Catalog, HTTP: p.client, Log: k.Log().WithName("follow"),
+		State: f.state, Roster: f.roster, Parse: f.dialect.Catalog, Suspects: f.suspects.Learn, HTTP: p.client,
+		Log: k.Log().WithName("follow"),
 	}
 	if f.settings.VM.Control() {
 		o.PeerAddress = f.peerAddress()
@@ -374,6 +390,7 @@
 			Log: k.Log().WithName("stages"),
 		}),
 		Pool:        f.pool,
+		Suspects:    f.suspects,
 		Repeats:     allowance.NewRepeats(s.RetryRatio, s.RetryExtra, s.RetryWindow),
 		ColdOverrun: s.ColdOverrun, ColdExtra: s.ColdExtra, Log: k.Log().WithName("relay"),
 	})
--- a/pkg/fleet/control.go
+++ b/pkg/fleet/control.go
@@ -13,6 +13,7 @@
 	"connectrpc.com/connect"
 	"github.com/go-logr/logr"
 
+	daisyhatchv1 "github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1"
 	"github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1/daisyhatchv1connect"
 	"github.com/daisyhatch/daisyhatch/pkg/catalog"
 	"github.com/daisyhatch/daisyhatch/pkg/fsm"
@@ -74,6 +75,9 @@
 // Parse reads and checks a configuration document.
 type Parse func(document []byte) (*catalog.Set, error)
 
+// Suspects takes a list of requests under which several servers ended; lists of higher versions are newer.
+type Suspects func(version uint64, list []*daisyhatchv1.Suspect)
+
 // ControlOptions are what a Control is made from.
 type ControlOptions struct {
 	// VM is the name in the control group, Address the peer address.
@@ -86,8 +90,10 @@
 	State       *State
 	Roster      *Roster
 	Parse       Parse
-	HTTP        *http.Client
-	Log         logr.Logger
+	// Suspects is told of the requests under which several servers ended, as Follower does.
+	Suspects Suspects
+	HTTP     *http.Client
+	Log      logr.Logger
 }
 
 // Control is a control VM's part of the fleet.
@@ -155,6 +161,7 @@
 
 // takeOver copies the replicated state into the VM's State.
 func (c *Control) takeOver(ctx context.Context) {
+	told := uint64(0)
 	for {
 		view, changed := c.opts.Machine.View()
 		r := view.Revision
@@ -162,6 +169,11 @@
 		if r.Number > c.opts.State.Number() {
 			c.adopt(r.Number, r.Version, r.Document, r.DomainsOut)
 		}
+		if view.SuspectsVersion != told {
+			told = view.SuspectsVersion
+			c.opts.Suspects(told, sharedSuspects(view.Suspects))
+			c.opts.State.wakeFollowers()
+		}
 		select {
 		case <-ctx.Done():
 			return
--- a/pkg/fleet/feed.go
+++ b/pkg/fleet/feed.go
@@ -157,6 +157,8 @@
 	number  uint64
 	version uint64
 	owners  uint64
+	// suspects is the version of the list of suspects that was told.
+	suspects uint64
 	// count, direct and heard are up to which change count it was told of changes, of announcements to this VM, and of all
 	// that was heard; heardAt and allAt are when it was told of the latter two.
 	count   uint64
@@ -211,6 +213,9 @@
 			m.StageOwners = append(m.StageOwners, o.ToWire())
 		}
 	}
+	if v := view.SuspectsVersion; v != f.suspects && !f.peer {
+		f.suspects, m.SuspectsVersion, m.Suspects = v, v, sharedSuspects(view.Suspects)
+	}
 	f.fillRoster(m, now)
 	f.fillEntries(m, now)
 	if r.Version > f.version {
--- a/pkg/fleet/follower.go
+++ b/pkg/fleet/follower.go
@@ -43,8 +43,10 @@
 	State       *State
 	Roster      *Roster
 	Parse       Parse
-	HTTP        *http.Client
-	Log         logr.Logger
+	// Suspects is told of the requests under which several servers ended; an entry VM's.
+	Suspects Suspects
+	HTTP     *http.Client
+	Log      logr.Logger
 }
 
 // Follower follows control VMs and keeps the VM's State up to date: a control VM all others, an entry VM followStreams of
@@ -267,6 +269,9 @@
 		// A control VM's replicated state comes from its own log.
 		return
 	}
+	if v := m.GetSuspectsVersion(); v > 0 {
+		f.opts.Suspects(v, m.GetSuspects())
+	}
 	owners := make([]stageowner.Owner, 0, len(m.GetStageOwners()))
 	for _, o := range m.GetStageOwners() {
 		owners = append(owners, stageowner.FromWire(o))
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -219,6 +219,13 @@
 	s.wake = make(chan struct{})
 }
 
+// wakeFollowers has followers told of what is not part of the State.
+func (s *State) wakeFollowers() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.signal()
+}
+
 // Changed returns a channel that is closed at the next change that followers must hear of soon.
 func (s *State) Changed() <-chan struct{} {
 	s.mu.RLock()
--- a/pkg/fsm/fsm.go
+++ b/pkg/fsm/fsm.go
@@ -120,6 +120,9 @@
 	case *daisyhatchv1.Command_Crash:
 		r, err := m.suspects.Crash(b.Crash, now)
 		return orFailed(&daisyhatchv1.Result{Body: &daisyhatchv1.Result_Crash{Crash: r}}, err)
+	case *daisyhatchv1.Command_ClearSuspects:
+		r := &daisyhatchv1.ClearSuspectsResult{Version: m.suspects.Clear(b.ClearSuspects.GetFingerprints())}
+		return &daisyhatchv1.Result{Body: &daisyhatchv1.Result_ClearSuspects{ClearSuspects: r}}
 	case *daisyhatchv1.Command_Order:
 		o, err := m.orders.Submit(b.Order, index, now)
 		return orFailed(&daisyhatchv1.Result{Body: &daisyhatchv1.Result_Order{Order: &daisyhatchv1.OrderResult{Order: o}}}, err)
@@ -147,17 +150,18 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := &daisyhatchv1.MachineSnapshot{
-		Format:      snapshotFormat,
-		Index:       m.index,
-		NowUnixMs:   m.clock.nowMs,
-		Stamps:      m.clock.stamps,
-		Publication: m.publication.Snapshot(),
-		Leases:      m.leases.All(),
-		Ledger:      m.ledger.Snapshot(),
-		Suspects:    m.suspects.Records(),
-		Orders:      m.orders.Snapshot(),
-		Revision:    m.revisions.Snapshot(),
-		StageOwners: m.stageOwners.Snapshot(),
+		Format:          snapshotFormat,
+		Index:           m.index,
+		NowUnixMs:       m.clock.nowMs,
+		Stamps:          m.clock.stamps,
+		Publication:     m.publication.Snapshot(),
+		Leases:          m.leases.All(),
+		Ledger:          m.ledger.Snapshot(),
+		Suspects:        m.suspects.Records(),
+		SuspectsVersion: m.suspects.Version(),
+		Orders:          m.orders.Snapshot(),
+		Revision:        m.revisions.Snapshot(),
+		StageOwners:     m.stageOwners.Snapshot(),
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
 	if err != nil {
@@ -206,7 +210,7 @@
 	m.publication, errs[0] = publication.Restore(s.GetPublication())
 	m.leases, errs[1] = lease.Restore(s.GetLeases())
 	m.ledger, errs[2] = ledger.Restore(s.GetLedger())
-	m.suspects, errs[3] = suspect.Restore(s.GetSuspects())
+	m.suspects, errs[3] = suspect.Restore(s.GetSuspects(), s.GetSuspectsVersion())
 	m.orders, errs[4] = order.Restore(s.GetOrders())
 	m.stageOwners, errs[5] = stageowner.Restore(s.GetStageOwners())
 	return m, errors.Join(errs[:]...)
--- a/pkg/fsm/view.go
+++ b/pkg/fsm/view.go
@@ -17,6 +17,8 @@
 	Suspects []*daisyhatchv1.Suspect
 	// SuspectsNumber grows with each change of Suspects.
 	SuspectsNumber uint64
+	// SuspectsVersion is the same on all control VMs that applied the same log.
+	SuspectsVersion uint64
 	// Leases are by name.
 	Leases []*daisyhatchv1.Lease
 	// LeasesNumber grows with each change of a lease's holder.
@@ -38,6 +40,7 @@
 		m.seenSuspects = n
 		m.view.Suspects = m.suspectList()
 		m.view.SuspectsNumber++
+		m.view.SuspectsVersion = m.suspects.Version()
 	}
 	if n := m.leases.Changes(); n != m.seenLeases || m.restored {
 		m.seenLeases = n
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -21,8 +21,13 @@
 	"github.com/daisyhatch/daisyhatch/pkg/engine"
 )
 
-// reportTimeout bounds the tries to commit one crash report.
-const reportTimeout = 30 * time.Second
+const (
+	// reportTimeout bounds the tries to commit one crash report.
+	reportTimeout = 30 * time.Second
+	// reportFirstPause and reportMostPause are the pauses between them.
+	reportFirstPause = 20 * time.Millisecond
+	reportMostPause  = 200 * time.Millisecond
+)
 
 // DefaultSpread is how long after a crash was committed all entry VMs know of it, or start no request.
 const DefaultSpread = 500 * time.Millisecond
@@ -97,7 +102,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	k := keyOf(t)
-	id := q.state.begin(k, fingerprint, alone)
+	id := q.state.begin(k, flight{fingerprint: fingerprint, alone: alone})
 	return func() {
 		q.mu.Lock()
 		defer q.mu.Unlock()
@@ -109,7 +114,7 @@
 // of them; the others wait for that report. It returns an error when the report could not be committed before ctx ended.
 func (q *Quarantine) Crashed(ctx context.Context, t engine.Target, fingerprint uint64) (dispatch.Verdict, error) {
 	q.mu.Lock()
-	c, first := q.state.crashed(keyOf(t), fingerprint)
+	c, first := q.state.crashed(keyOf(t), flight{fingerprint: fingerprint})
 	q.mu.Unlock()
 	if first {
 		go q.report(context.WithoutCancel(ctx), c)
@@ -129,23 +134,31 @@
 	crashesReported.Inc()
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
+	res, err := persist(ctx, reportMostPause, func() (*daisyhatchv1.CrashResult, error) {
+		return q.opts.Reporter.ReportCrash(ctx, c.command)
+	})
+	q.learn(c, res, err)
+	if err == nil && !c.command.GetAlone() {
+		q.spread(ctx)
+	}
+	close(c.done)
+}
+
+// persist calls do until it succeeds or ctx ends, with pauses that grow up to most.
+func persist[T any](ctx context.Context, most time.Duration, do func() (T, error)) (T, error) {
 	policy := backoff.NewExponentialBackOff()
-	policy.InitialInterval = 20 * time.Millisecond
-	policy.MaxInterval = 200 * time.Millisecond
+	policy.InitialInterval = reportFirstPause
+	policy.MaxInterval = most
 	var last error
-	res, err := backoff.Retry(ctx, func() (*daisyhatchv1.CrashResult, error) {
-		res, err := q.opts.Reporter.ReportCrash(ctx, c.command)
+	res, err := backoff.Retry(ctx, func() (T, error) {
+		res, err := do()
 		last = err
 		return res, err
 	}, backoff.WithBackOff(policy))
 	if err != nil {
 		err = errors.Join(err, last)
 	}
-	q.learn(c, res, err)
-	if err == nil && !c.command.GetAlone() {
-		q.spread(ctx)
-	}
-	close(c.done)
+	return res, err
 }
 
 // learn takes over what the control VMs answered to a report.
--- a/pkg/relay/books_test.go
+++ b/pkg/relay/books_test.go
@@ -9,12 +9,13 @@
 	"github.com/daisyhatch/daisyhatch/pkg/catalog"
 	"github.com/daisyhatch/daisyhatch/pkg/directory"
 	"github.com/daisyhatch/daisyhatch/pkg/fleet"
+	"github.com/daisyhatch/daisyhatch/pkg/quarantine"
 )
 
 // A send is booked once and ended once, however it ends: a caller that leaves between the head of a stream and its first
 // event must not leave its run on the server's account.
 func TestASendIsEndedOnce(t *testing.T) {
-	r := New(Options{})
+	r := New(Options{Suspects: quarantine.NewTracker(quarantine.TrackerOptions{})})
 	c := fleet.Candidate{Server: directory.Server{ID: "i-1"}}
 	for name, service := range map[string]*catalog.Service{"plain": {Name: "s"}, "engine": {Name: "e", Engine: &catalog.Engine{}}} {
 		x := &exchange{relay: r, service: service}
--- a/pkg/relay/decide.go
+++ b/pkg/relay/decide.go
@@ -57,6 +57,8 @@
 	restage bool
 	// inputsGone is true when the stages must run anew before the request can be sent again.
 	inputsGone bool
+	// crashes is how many servers are known to have ended under the request, in this attempt or before.
+	crashes int
 	// others is how many servers there are that have not been tried.
 	others int
 	// allowed asks the budget of repeats; it takes one.
@@ -68,11 +70,13 @@
 	maxSends = 4
 	// leastLeft is the time below which a repeat can't help.
 	leastLeft = 40 * time.Millisecond
+	// maxCrashes is from how many ends of servers under a request it is not repeated here: one may have been chance.
+	maxCrashes = 2
 )
 
 // next decides what follows a send. A request that has not run may be sent to another server whatever its kind; one that
 // may have run only when its route is repeatable and allows another server. A repeat needs time, a server that has not
-// been tried, and a place in the budget that all VMs share.
+// been tried, and a place in the budget that all VMs share. One under which servers go on ending is not repeated.
 func next(s situation) step {
 	mayRepeat := s.left >= leastLeft && s.others > 0 && s.sends < maxSends && (!s.inputsGone || s.restage)
 	switch s.ending {
@@ -91,7 +95,7 @@
 			return stepRestage
 		}
 	case endedUnknown, endedFailed:
-		if mayRepeat && s.route.Repeatable() && s.runs < s.route.MaxServers && s.allowed() {
+		if mayRepeat && s.crashes < maxCrashes && s.route.Repeatable() && s.runs < s.route.MaxServers && s.allowed() {
 			return stepRepeat
 		}
 		if s.ending == endedFailed && !s.delivered {
--- a/pkg/relay/ending.go
+++ b/pkg/relay/ending.go
@@ -10,7 +10,9 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/daisyhatch/daisyhatch/pkg/directory"
+	"github.com/daisyhatch/daisyhatch/pkg/engine"
 	"github.com/daisyhatch/daisyhatch/pkg/fleet"
+	"github.com/daisyhatch/daisyhatch/pkg/quarantine"
 	"github.com/daisyhatch/daisyhatch/pkg/upstream"
 )
 
@@ -31,8 +33,19 @@
 // reachTime bounds the look at a server whose answer did not come: some ways to a server of another region and back.
 const reachTime = 100 * time.Millisecond
 
-// incarnation names a server's life.
-func incarnation(born int64) string { return strconv.FormatInt(born, 10) }
+// Bounds of the watch on servers that were silent when an answer did not come.
+const (
+	// returnTime is how long such a server may take to come back: an incarnation that is announced later is not
+	// connected with the request.
+	returnTime     = 15 * time.Second
+	returnInterval = 500 * time.Millisecond
+	maxAwaited     = 256
+)
+
+// target names a server's incarnation.
+func target(c fleet.Candidate) engine.Target {
+	return engine.Target{Server: c.ID, Incarnation: strconv.FormatInt(c.Born, 10)}
+}
 
 // serverState looks at a server that did not answer.
 func (x *exchange) serverState(c fleet.Candidate) serverState {
@@ -56,11 +69,46 @@
 	}
 }
 
-// unanswered logs a send to which no whole answer came, with the state in which its server is.
+// unanswered notes a send to which no whole answer came. A server that ended counts against the request; one that is only
+// silent does when it comes back as another incarnation.
 func (x *exchange) unanswered(c fleet.Candidate, res *sendResult) {
-	state := x.serverState(c)
-	metrics.GetOrCreateCounter(fmt.Sprintf(`daisyhatch_relay_unanswered_total{server=%q}`, state)).Inc()
-	x.relay.opts.Log.Info("send without an answer", "request", x.call.ID, "fingerprint", strconv.FormatUint(x.print, 16),
-		"service", x.service.Name, "server", c.ID, "incarnation", incarnation(c.Born), "server_state", string(state),
-		"took_ms", time.Since(res.begun).Milliseconds(), "reason", res.reason())
+	begun, reason, flight := res.begun, res.reason(), x.flight
+	look := func() {
+		state := x.serverState(c)
+		metrics.GetOrCreateCounter(fmt.Sprintf(`daisyhatch_relay_unanswered_total{server=%q}`, state)).Inc()
+		x.relay.opts.Log.Info("send without an answer", "request", x.call.ID, "fingerprint", strconv.FormatUint(x.print, 16),
+			"service", x.service.Name, "server", c.ID, "incarnation", target(c).Incarnation, "server_state", string(state),
+			"crashes", x.relay.opts.Suspects.Crashes(x.print), "took_ms", time.Since(begun).Milliseconds(), "reason", reason)
+		switch state {
+		case stateEnded:
+			flight.Crashed()
+		case stateSilent:
+			go x.relay.awaitReturn(c, flight)
+		}
+	}
+	if x.ctx.Err() != nil {
+		// The caller's time is over.
+		go look()
+		return
+	}
+	look()
+}
+
+// awaitReturn watches a silent server until it comes back.
+func (r *Relay) awaitReturn(c fleet.Candidate, flight *quarantine.Run) {
+	defer r.awaited.Add(-1)
+	if r.awaited.Add(1) > maxAwaited {
+		return
+	}
+	for range returnTime / returnInterval {
+		time.Sleep(returnInterval)
+		now, known := r.opts.Knowledge.Server(c.ID)
+		switch {
+		case known && now.Born != c.Born:
+			flight.Crashed()
+			return
+		case known && now.State != directory.Ready:
+			return
+		}
+	}
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -27,6 +27,7 @@
 	"github.com/daisyhatch/daisyhatch/pkg/fleet"
 	"github.com/daisyhatch/daisyhatch/pkg/logsink"
 	"github.com/daisyhatch/daisyhatch/pkg/placement"
+	"github.com/daisyhatch/daisyhatch/pkg/quarantine"
 	"github.com/daisyhatch/daisyhatch/pkg/suspect"
 	"github.com/daisyhatch/daisyhatch/pkg/upstream"
 )
@@ -53,6 +54,8 @@
 	Knowledge     Knowledge
 	Stages        Stages
 	Pool          *upstream.Pool
+	// Suspects keeps requests under which servers ended from being sent on.
+	Suspects *quarantine.Tracker
 	// Repeats bounds the sends beyond the first.
 	Repeats *allowance.Repeats
 	// ColdOverrun and ColdExtra bound what a cold server gets in a second from all VMs.
@@ -80,6 +83,8 @@
 	cold     *allowance.Window
 	answered *logsink.Budget
 	stopping atomic.Bool
+	// awaited counts the silent servers that are watched.
+	awaited atomic.Int32
 
 	mu     sync.Mutex
 	health *health
@@ -147,7 +152,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{relay: r, w: w, req: req, begin: begin}
-	if !x.accept() {
+	if !x.accept() || x.suspected() {
 		x.finish()
 		return
 	}
@@ -198,6 +203,8 @@
 	ran   int
 	// onServer is true from a send to its end in the books.
 	onServer bool
+	// flight is the run on the latest server.
+	flight *quarantine.Run
 	// lastEvent is the id of the last event delivered.
 	lastEvent string
 	started   bool
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/daisyhatch/daisyhatch/pkg/allowance"
 	"github.com/daisyhatch/daisyhatch/pkg/catalog"
 	"github.com/daisyhatch/daisyhatch/pkg/fleet"
@@ -26,6 +28,9 @@
 		if x.inputs.gone() && !x.runStages() {
 			return
 		}
+		if x.suspected() {
+			break
+		}
 		server, ok := x.choose()
 		if !ok {
 			x.noServer()
@@ -95,15 +100,27 @@
 	x.outcome, x.reason, x.abort = "cut", reason, true
 }
 
-func (x *exchange) noServer() {
-	reason := "no server of the service takes work now"
+func (x *exchange) noServer() { x.giveUp(noServerRetry, "no server of the service takes work now") }
+
+// suspected ends a request under which servers ended one after the other; false when it may go on.
+func (x *exchange) suspected() bool {
+	left, refused := x.relay.opts.Suspects.Refused(x.print)
+	if refused {
+		metrics.GetOrCreateCounter("daisyhatch_relay_suspects_refused_total").Inc()
+		x.giveUp(left, "servers ended one after the other under this request")
+	}
+	return refused
+}
+
+// giveUp ends a request that can't be sent any more; retryAfter is told to a caller whose request has not run.
+func (x *exchange) giveUp(retryAfter time.Duration, reason string) {
 	switch {
 	case x.started:
 		x.cut(reason)
 	case x.ran > 0:
 		x.fail(x.failStatus(), reason)
 	default:
-		x.refuse(http.StatusServiceUnavailable, noServerRetry, reason)
+		x.refuse(http.StatusServiceUnavailable, retryAfter, reason)
 	}
 }
 
@@ -117,7 +134,7 @@
 	}
 	return situation{
 		ending: res.ending, route: x.route, runs: x.ran, sends: sends, delivered: x.started,
-		left: x.deadline.Sub(now), others: others, restage: x.mayRunChain(), inputsGone: x.inputs.gone(),
+		crashes: x.relay.opts.Suspects.Crashes(x.print), left: x.deadline.Sub(now), others: others, restage: x.mayRunChain(), inputsGone: x.inputs.gone(),
 		allowed: func() bool {
 			return x.relay.opts.Repeats.Allow(x.service.Name, len(x.relay.opts.Knowledge.Entries(now)), now)
 		},
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -29,6 +29,9 @@
 // errNotAllowed keeps a request from a server that began to leave meanwhile.
 var errNotAllowed = errors.New("relay: the server takes no new work any more")
 
+// errSuspected keeps a request from being sent under which too many servers ended meanwhile.
+var errSuspected = errors.New("relay: servers ended under this request")
+
 // sendResult is how a send ended; answer is open when there is one to deliver.
 type sendResult struct {
 	ending ending
@@ -73,6 +76,9 @@
 			if !r.opts.Knowledge.Allowed(c.ID) {
 				return errNotAllowed
 			}
+			if _, refused := r.opts.Suspects.Refused(x.print); refused {
+				return errSuspected
+			}
 			return nil
 		},
 	}
@@ -103,11 +109,11 @@
 	} else {
 		x.ran++
 	}
-	own := errors.Is(res.err, errNotAllowed) || x.req.Context().Err() != nil
-	x.ended(c, !own, res.ending == endedUnknown)
+	own := errors.Is(res.err, errNotAllowed) || errors.Is(res.err, errSuspected) || x.req.Context().Err() != nil
 	if res.ending == endedUnknown && !own {
-		go x.unanswered(c, res)
+		x.unanswered(c, res)
 	}
+	x.ended(c, !own, res.ending == endedUnknown)
 }
 
 // classify reads what the answer says.
@@ -142,8 +148,8 @@
 			err = errors.New("the answer is too large")
 		}
 		res.ending, res.err = endedUnknown, err
+		x.unanswered(c, res)
 		x.ended(c, true, true)
-		go x.unanswered(c, res)
 		return
 	}
 	res.whole = whole
@@ -151,9 +157,13 @@
 	x.answered(c, time.Since(res.begun))
 	x.ended(c, false, false)
 	res.ending = endedWell
-	if a.Status >= 500 {
+	if a.Status >= http.StatusInternalServerError {
 		res.ending = endedFailed
 		res.err = errors.New("the server failed: status " + strconv.Itoa(a.Status))
+		return
+	}
+	if a.Delimited {
+		x.relay.opts.Suspects.Served(x.print)
 	}
 }
 
@@ -163,6 +173,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	x.onServer = true
+	x.flight = r.opts.Suspects.Begin(target(c), x.print)
 	if x.service.Engine != nil {
 		x.sent = r.book.Send(x.call.Prompt, c.ID, now)
 	} else {
@@ -189,6 +200,7 @@
 		return
 	}
 	x.onServer = false
+	x.flight.End()
 	if failed {
 		r.health.failed(c.ID, time.Now())
 	}
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -45,6 +45,9 @@
 		if errors.Is(err, io.EOF) {
 			res.close()
 			x.ended(c, false, false)
+			if res.answer.Delimited {
+				x.relay.opts.Suspects.Served(x.print)
+			}
 			x.endStream(res)
 			return true
 		}
@@ -94,9 +97,9 @@
 		return true
 	}
 	timeUp := x.ctx.Err() != nil
-	x.ended(c, !timeUp, true)
 	res.ending, res.err = endedUnknown, err
-	go x.unanswered(c, res)
+	x.unanswered(c, res)
+	x.ended(c, !timeUp, true)
 	switch next(x.situation(res, len(x.tried))) {
 	case stepRepeat:
 		return false
--- a/pkg/suspect/suspect_test.go
+++ b/pkg/suspect/suspect_test.go
@@ -63,7 +63,7 @@
 			}
 			if rapid.Bool().Draw(t, "reload") {
 				s := &daisyhatchv1.MachineSnapshot{Suspects: table.Records()}
-				table, err = Restore(proto.CloneOf(s).GetSuspects())
+				table, err = Restore(proto.CloneOf(s).GetSuspects(), table.Version())
 				require.NoError(t, err)
 			}
 		}
@@ -105,3 +105,55 @@
 	require.Len(t, table.Records(), MaxSuspects)
 	require.Equal(t, convicted, table.records[7].GetSuspect().GetState())
 }
+
+// Crashes of a fingerprint count one after the other: a run that began when its VM did not know of the last one may have ended
+// by the same cause.
+func TestRunsThatBeganBeforeTheLastCrashDoNotCount(t *testing.T) {
+	for name, c := range map[string]struct {
+		run  *daisyhatchv1.CrashRun
+		want uint32
+	}{
+		"same VM, after its own crash":           {&daisyhatchv1.CrashRun{KnownCrashes: 1}, 2},
+		"VM that has the list since the crash":   {&daisyhatchv1.CrashRun{KnownVersion: 1}, 2},
+		"VM that had not heard of the crash":     {&daisyhatchv1.CrashRun{}, 1},
+		"reported by a VM that does not tell it": {nil, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := New()
+			_, err := table.Crash(&daisyhatchv1.CrashCommand{Server: "a", Fingerprints: []uint64{1}, Runs: []*daisyhatchv1.CrashRun{{}}}, 1)
+			require.NoError(t, err)
+			second := &daisyhatchv1.CrashCommand{Server: "b", Fingerprints: []uint64{1}}
+			if c.run != nil {
+				second.Runs = []*daisyhatchv1.CrashRun{c.run}
+			}
+			r, err := table.Crash(second, 2)
+			require.NoError(t, err)
+			require.Equal(t, c.want, r.GetSuspects()[0].GetCrashes())
+		})
+	}
+	_, err := New().Crash(&daisyhatchv1.CrashCommand{Server: "a", Fingerprints: []uint64{1, 2}, Runs: []*daisyhatchv1.CrashRun{{}}}, 1)
+	require.ErrorIs(t, err, ErrCommand)
+}
+
+// Each change has a version of its own, also after a reload: lists are compared by it.
+func TestVersionGrowsWithEachChange(t *testing.T) {
+	table := New()
+	before := table.Version()
+	grown := func(what string) {
+		require.Greater(t, table.Version(), before, what)
+		before = table.Version()
+	}
+	_, err := table.Crash(&daisyhatchv1.CrashCommand{Server: "a", Fingerprints: []uint64{1}}, 1)
+	require.NoError(t, err)
+	grown("crash")
+	table.Clear([]uint64{1})
+	require.Nil(t, table.Get(1))
+	grown("clear")
+	_, err = table.Crash(&daisyhatchv1.CrashCommand{Server: "a", Fingerprints: []uint64{1}}, 1)
+	require.NoError(t, err)
+	grown("crash")
+	table, err = Restore(table.Records(), table.Version())
+	require.NoError(t, err)
+	table.Expire(1 + SuspicionMs)
+	grown("expiry")
+}
