Relay: servers that say in an answer that they leave, or want nothing for a time, get nothing

Cause: nothing read either header on this path. A refusal without having run left the server in use at once.

Change: holdoff.Book keeps each incarnation's word: leaving for good, a wait until its end (never shortened by a later one, an hour at most). fleet.State holds the book, so that the choice of a server and the look right before the first byte leaves both heed it. The word outlasts late announcements and ends with the next incarnation. When all servers of a service have asked for a pause the caller is refused at once, and told to come back when the first pause ends. The answer itself is delivered unchanged.

--- a/pkg/dialect/dialect.go
+++ b/pkg/dialect/dialect.go
@@ -14,6 +14,7 @@
 
 	"github.com/daisyhatch/daisyhatch/pkg/catalog"
 	"github.com/daisyhatch/daisyhatch/pkg/directory"
+	"github.com/daisyhatch/daisyhatch/pkg/holdoff"
 )
 
 // Errors of this package.
@@ -121,6 +122,8 @@
 	Encoded bool
 	// Load is nil when the server doesn't tell it.
 	Load *Load
+	// Notice is what the server says of its own time.
+	Notice holdoff.Notice
 }
 
 // Load is a server's own count.
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -8,6 +8,7 @@
 
 	"github.com/daisyhatch/daisyhatch/pkg/catalog"
 	"github.com/daisyhatch/daisyhatch/pkg/directory"
+	"github.com/daisyhatch/daisyhatch/pkg/holdoff"
 	"github.com/daisyhatch/daisyhatch/pkg/stageowner"
 )
 
@@ -31,7 +32,9 @@
 	wake    chan struct{}
 	entries entryBook
 	current time.Time
-	owners  map[string]stageowner.Owner
+	// words are what servers said in their answers to this VM.
+	words  *holdoff.Book
+	owners map[string]stageowner.Owner
 	// ownersWake is closed when an owner changes.
 	ownersWake chan struct{}
 }
@@ -56,7 +59,7 @@
 // NewState returns an empty State.
 func NewState() *State {
 	s := &State{
-		out: make(map[string]time.Time), back: make(map[string]time.Time), dir: directory.New(), wake: make(chan struct{}),
+		out: make(map[string]time.Time), back: make(map[string]time.Time), dir: directory.New(), wake: make(chan struct{}), words: holdoff.NewBook(),
 		entries: newEntryBook(), owners: make(map[string]stageowner.Owner), ownersWake: make(chan struct{}),
 	}
 	for k := range s.stamps {
@@ -190,6 +193,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	gone := s.dir.Expire(now)
+	s.words.Retain(func(id string) bool {
+		_, known := s.dir.Get(id)
+		return known
+	}, now)
 	for _, v := range gone {
 		for _, m := range s.stamps {
 			delete(m, v.ID)
@@ -246,7 +253,7 @@
 	defer s.mu.RUnlock()
 	var out []Candidate
 	for _, v := range s.dir.Serving(service) {
-		if _, isOut := s.out[v.Domain]; isOut {
+		if _, isOut := s.out[v.Domain]; isOut || !s.words.Open(v.ID, v.Incarnation(), now) {
 			continue
 		}
 		out = append(out, Candidate{Server: v, Cold: s.cold(v, now)})
@@ -271,7 +278,51 @@
 		return false
 	}
 	_, out := s.out[v.Domain]
-	return !out
+	return !out && s.words.Open(id, v.Incarnation(), time.Now())
+}
+
+// Noticed takes over what an incarnation of a server said in an answer to this VM, and reports whether that is news.
+func (s *State) Noticed(v directory.Server, n holdoff.Notice, now time.Time) bool {
+	if n.Empty() {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.words.Note(v.ID, v.Incarnation(), n, now)
+}
+
+// Back returns when the first server of a service that wants no calls now takes them again; false when one takes them
+// now, or none will.
+func (s *State) Back(service string, now time.Time) (time.Duration, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	first, found := time.Time{}, false
+	for _, v := range s.dir.Serving(service) {
+		if _, isOut := s.out[v.Domain]; isOut {
+			continue
+		}
+		if s.words.Open(v.ID, v.Incarnation(), now) {
+			return 0, false
+		}
+		if at, ok := s.words.Back(v.ID, v.Incarnation(), now); ok && (!found || at.Before(first)) {
+			first, found = at, true
+		}
+	}
+	return first.Sub(now), found
+}
+
+// Open reports whether an incarnation of a server takes calls of any kind from this VM, as far as its answers say.
+func (s *State) Open(v directory.Server, now time.Time) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.words.Open(v.ID, v.Incarnation(), now)
+}
+
+// ServerAt returns the server to which an address belongs; false when none is known.
+func (s *State) ServerAt(address string) (directory.Server, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.dir.ByAddress(address)
 }
 
 // Server returns what is known of a server; false when nothing is.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -25,6 +25,7 @@
 	"github.com/daisyhatch/daisyhatch/pkg/dialect"
 	"github.com/daisyhatch/daisyhatch/pkg/directory"
 	"github.com/daisyhatch/daisyhatch/pkg/fleet"
+	"github.com/daisyhatch/daisyhatch/pkg/holdoff"
 	"github.com/daisyhatch/daisyhatch/pkg/liveness"
 	"github.com/daisyhatch/daisyhatch/pkg/logsink"
 	"github.com/daisyhatch/daisyhatch/pkg/placement"
@@ -43,6 +44,11 @@
 	Allowed(server string) bool
 	// Server returns what is known of a server; false when nothing is.
 	Server(id string) (directory.Server, bool)
+	// Noticed takes over what an incarnation of a server said in an answer, and reports whether that is news.
+	Noticed(v directory.Server, n holdoff.Notice, now time.Time) bool
+	// Back returns when the first server of a service that wants no calls now takes them again; false when one takes them
+	// now, or none will.
+	Back(service string, now time.Time) (time.Duration, bool)
 	// Entries returns the ids of the entry VMs that share bounds.
 	Entries(now time.Time) []uint64
 }
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -66,7 +66,7 @@
 			continue
 		case stepRefuse:
 			res.close()
-			x.refuse(http.StatusServiceUnavailable, noServerRetry, res.reason())
+			x.refuse(http.StatusServiceUnavailable, x.serverRetry(), res.reason())
 		case stepFail:
 			res.close()
 			x.fail(x.failStatus(), res.reason())
@@ -100,7 +100,13 @@
 	x.outcome, x.reason, x.abort = "cut", reason, true
 }
 
-func (x *exchange) noServer() { x.giveUp(noServerRetry, "no server of the service takes work now") }
+func (x *exchange) noServer() { x.giveUp(x.serverRetry(), "no server of the service takes work now") }
+
+// serverRetry is when a caller may come back that found no server: not before the first one takes requests again.
+func (x *exchange) serverRetry() time.Duration {
+	back, _ := x.relay.opts.Knowledge.Back(x.service.Name, time.Now())
+	return max(back, noServerRetry)
+}
 
 // suspected ends a request under which servers ended one after the other; false when it may go on.
 func (x *exchange) suspected() bool {
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -12,6 +12,7 @@
 	"github.com/daisyhatch/daisyhatch/pkg/catalog"
 	"github.com/daisyhatch/daisyhatch/pkg/dialect"
 	"github.com/daisyhatch/daisyhatch/pkg/fleet"
+	"github.com/daisyhatch/daisyhatch/pkg/holdoff"
 	"github.com/daisyhatch/daisyhatch/pkg/liveness"
 	"github.com/daisyhatch/daisyhatch/pkg/upstream"
 )
@@ -121,6 +122,7 @@
 func (x *exchange) classify(res *sendResult, c fleet.Candidate) {
 	a := res.answer
 	said := x.relay.opts.Dialect.Answer(a.Status, a.Header)
+	x.noticed(c, said.Notice)
 	if said.NotRun || said.Misdirected {
 		res.ending = endedNotRun
 		if a.Status == http.StatusConflict {
@@ -168,6 +170,14 @@
 	}
 }
 
+// noticed takes over what a server said of itself in an answer.
+func (x *exchange) noticed(c fleet.Candidate, n holdoff.Notice) {
+	if x.relay.opts.Knowledge.Noticed(c.Server, n, time.Now()) {
+		x.relay.opts.Log.Info("server wants no more calls", "request", x.call.ID, "service", x.service.Name, "server", c.ID,
+			"incarnation", c.Incarnation(), "leaving", n.Leaving, "wait_ms", n.Wait.Milliseconds())
+	}
+}
+
 // began, answered and ended keep the books on a server.
 func (x *exchange) began(c fleet.Candidate, now time.Time) {
 	r := x.relay
