Stage calls: servers that leave by an answer, or want nothing for a time, get no call of any kind

The same as for requests, on the calls that the owner of a service's stages makes: pieces, questions for room, results given up. A stage server that refused was avoided for half a second whatever it had asked for, and one that said that it leaves went on getting calls until its announcement came.

Change: the answers of all three kinds of calls are read, and each call is checked right before it goes out. Results at a server that wants no calls are not given up there; it drops them after their time, and the owner's books release the room by then.

--- a/pkg/stagecall/giveup.go
+++ b/pkg/stagecall/giveup.go
@@ -87,6 +87,12 @@
 		r.opts.Log.Error(err, "results not given up", "server_address", address)
 		return
 	}
+	v, known := r.opts.View.ServerAt(address)
+	if err := r.mayAsk(v); known && err != nil {
+		// It drops them by itself after a time.
+		r.opts.Log.Info("results not given up", "server_address", address, "count", len(handles), "reason", err.Error())
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
 	a, err := r.opts.Asides.Do(ctx, upstream.Call{
@@ -97,7 +103,10 @@
 		r.opts.Log.Info("results not given up", "server_address", address, "count", len(handles), "reason", err.Error())
 		return
 	}
-	// The answer says nothing beyond its status; what can't be read drops the connection.
+	if known {
+		r.noticed(v, r.opts.Dialect.Answer(a.Status, a.Header).Notice)
+	}
+	// The body says nothing; what can't be read drops the connection.
 	_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxAnswer))
 	_ = a.Body.Close()
 	for _, p := range pools {
--- a/pkg/stagecall/pool.go
+++ b/pkg/stagecall/pool.go
@@ -10,7 +10,6 @@
 
 	"github.com/daisyhatch/daisyhatch/pkg/dialect"
 	"github.com/daisyhatch/daisyhatch/pkg/directory"
-	"github.com/daisyhatch/daisyhatch/pkg/engine"
 	"github.com/daisyhatch/daisyhatch/pkg/liveness"
 	"github.com/daisyhatch/daisyhatch/pkg/quarantine"
 	"github.com/daisyhatch/daisyhatch/pkg/retry"
@@ -209,7 +208,7 @@
 	var runs []*quarantine.Run
 	for _, part := range c.Parts {
 		if f := part.Job.Fingerprint; f != 0 {
-			runs = append(runs, p.runner.opts.Suspects.Begin(c.Server.target(), f))
+			runs = append(runs, p.runner.opts.Suspects.Begin(liveness.Target(c.Server.record()), f))
 		}
 	}
 	return runs
@@ -221,8 +220,7 @@
 	state := liveness.State("")
 	var e *upstream.Error
 	if errors.As(err, &e) && e.Sent {
-		v := directory.Server{ID: c.Server.ID, Address: c.Server.Address, Born: c.Server.Born}
-		state = p.runner.liveness.Look(context.Background(), v, runs...)
+		state = p.runner.liveness.Look(context.Background(), c.Server.record(), runs...)
 	}
 	for _, r := range runs {
 		r.End()
@@ -230,9 +228,9 @@
 	return state
 }
 
-// target names the server's incarnation.
-func (v Server) target() engine.Target {
-	return liveness.Target(directory.Server{ID: v.ID, Born: v.Born})
+// record is the server as the directory names it.
+func (v Server) record() directory.Server {
+	return directory.Server{ID: v.ID, Address: v.Address, Domain: v.Domain, Born: v.Born}
 }
 
 // inputsRead notes that a call which has not ended has read its inputs. Pieces for which the server may have no room are
--- a/pkg/stagecall/runner.go
+++ b/pkg/stagecall/runner.go
@@ -13,6 +13,7 @@
 	"github.com/daisyhatch/daisyhatch/pkg/catalog"
 	"github.com/daisyhatch/daisyhatch/pkg/dialect"
 	"github.com/daisyhatch/daisyhatch/pkg/directory"
+	"github.com/daisyhatch/daisyhatch/pkg/holdoff"
 	"github.com/daisyhatch/daisyhatch/pkg/liveness"
 	"github.com/daisyhatch/daisyhatch/pkg/quarantine"
 	"github.com/daisyhatch/daisyhatch/pkg/retry"
@@ -53,6 +54,12 @@
 	Serving(service string, now time.Time) []Server
 	// Server returns what is known of a server; false when nothing is.
 	Server(id string) (directory.Server, bool)
+	// ServerAt returns the server to which an address belongs; false when none is known.
+	ServerAt(address string) (directory.Server, bool)
+	// Noticed takes over what an incarnation of a server said in an answer, and reports whether that is news.
+	Noticed(v directory.Server, n holdoff.Notice, now time.Time) bool
+	// Open reports whether an incarnation of a server takes calls of any kind, as far as its answers say.
+	Open(v directory.Server, now time.Time) bool
 }
 
 // Options are what a Runner is made from.
--- a/pkg/stagecall/send.go
+++ b/pkg/stagecall/send.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/daisyhatch/daisyhatch/pkg/dialect"
+	"github.com/daisyhatch/daisyhatch/pkg/directory"
+	"github.com/daisyhatch/daisyhatch/pkg/holdoff"
 	"github.com/daisyhatch/daisyhatch/pkg/upstream"
 )
 
@@ -42,6 +44,7 @@
 	a, err := p.runner.opts.Pool.Do(ctx, upstream.Call{
 		Address: c.Server.Address, Method: method, Target: path, Host: c.Server.Address,
 		Header: d.TargetHeader(c.Server.ID, latest.Sub(c.Begun)), Body: body, HasBody: true,
+		OnSend: func() error { return p.runner.mayAsk(c.Server.record()) },
 	})
 	if err != nil {
 		return nil, err
@@ -50,11 +53,13 @@
 		// Closing only returns or drops the connection.
 		_ = a.Body.Close()
 	}()
+	said := d.Answer(a.Status, a.Header)
+	p.runner.noticed(c.Server.record(), said.Notice)
 	answer, err := io.ReadAll(io.LimitReader(a.Body, maxAnswer))
 	if err != nil {
 		return nil, err
 	}
-	if said := d.Answer(a.Status, a.Header); said.NotRun || said.Misdirected {
+	if said.NotRun || said.Misdirected {
 		return nil, errShed
 	}
 	results, err := d.StageResults(answer)
@@ -70,6 +75,25 @@
 	return results, err
 }
 
+// errNotOpen keeps a call from a server that wants none.
+var errNotOpen = errors.New("stagecall: the server wants no calls now")
+
+// mayAsk returns errNotOpen when a server said that it wants no calls now.
+func (r *Runner) mayAsk(v directory.Server) error {
+	if r.opts.View.Open(v, time.Now()) {
+		return nil
+	}
+	return errNotOpen
+}
+
+// noticed takes over what a server said of itself in an answer.
+func (r *Runner) noticed(v directory.Server, n holdoff.Notice) {
+	if r.opts.View.Noticed(v, n, time.Now()) {
+		r.opts.Log.Info("server wants no more calls", "service", v.Service, "server", v.ID, "incarnation", v.Incarnation(),
+			"leaving", n.Leaving, "wait_ms", n.Wait.Milliseconds())
+	}
+}
+
 // errRepeated means that a server sent an earlier answer once more; the one to the call may come behind it.
 var errRepeated = errors.New("stagecall: the answer holds results of an earlier call")
 
@@ -105,6 +129,7 @@
 	method, path := d.StageReport()
 	a, err := r.opts.Asides.Do(ctx, upstream.Call{
 		Address: v.Address, Method: method, Target: path, Host: v.Address, Header: d.TargetHeader(v.ID, roomPatience),
+		OnSend: func() error { return r.mayAsk(v.record()) },
 	})
 	if err != nil {
 		return dialect.Room{}, err
@@ -113,6 +138,7 @@
 		// Closing only returns or drops the connection.
 		_ = a.Body.Close()
 	}()
+	r.noticed(v.record(), d.Answer(a.Status, a.Header).Notice)
 	answer, err := io.ReadAll(io.LimitReader(a.Body, maxAnswer))
 	if err != nil {
 		return dialect.Room{}, err
--- a/pkg/stageclient/stageclient_test.go
+++ b/pkg/stageclient/stageclient_test.go
@@ -19,6 +19,7 @@
 	"github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1/daisyhatchv1connect"
 	"github.com/daisyhatch/daisyhatch/pkg/catalog"
 	"github.com/daisyhatch/daisyhatch/pkg/directory"
+	"github.com/daisyhatch/daisyhatch/pkg/holdoff"
 	"github.com/daisyhatch/daisyhatch/pkg/relay"
 	"github.com/daisyhatch/daisyhatch/pkg/stagecall"
 	"github.com/daisyhatch/daisyhatch/pkg/stageowner"
@@ -98,6 +99,11 @@
 func (noServices) Catalog() *catalog.Set                        { return nil }
 func (noServices) Serving(string, time.Time) []stagecall.Server { return nil }
 func (noServices) Server(string) (directory.Server, bool)       { return directory.Server{}, false }
+func (noServices) ServerAt(string) (directory.Server, bool)     { return directory.Server{}, false }
+func (noServices) Open(directory.Server, time.Time) bool        { return true }
+func (noServices) Noticed(directory.Server, holdoff.Notice, time.Time) bool {
+	return false
+}
 
 func newClient(k *knowledge, heard bool) *Client {
 	local := stagecall.NewRunner(stagecall.Options{View: noServices{}, Log: logr.Discard()})
