Slots: the product's own interface heeds servers that leave by an answer, or want nothing for a time

Retry-After of a 503 was handed to the caller only when no other server was left, in whole seconds only, and the next call went to the same server; nothing said that a server leaves but its announcement.

Change: openai.Client passes what any answer says (calls, streams at their head, failures, control calls) on to the entry VM's slots; grant.Holder keeps it in the same holdoff.Book, next to the units that it holds, so that the choice of a server, the start of a call and the check right before it is sent all heed it. Units at such a server run out unused.

--- a/pkg/engine/openai/call.go
+++ b/pkg/engine/openai/call.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/daisyhatch/daisyhatch/pkg/engine"
+	"github.com/daisyhatch/daisyhatch/pkg/holdoff"
 )
 
 // errProgress is the cause of a context that ended since the server said nothing for too long.
@@ -109,6 +110,7 @@
 		resp, err := c.clientFor(x.call).Do(req) //nolint:bodyclose // finish closes it
 		if err == nil {
 			x.resp = resp
+			c.noticed(x.target, resp)
 			return nil
 		}
 		if x.sending.wrongIncarnation() {
@@ -123,6 +125,14 @@
 	}
 }
 
+// noticed passes on what an answer says of its server.
+func (c *Client) noticed(t engine.Target, resp *http.Response) {
+	n := holdoff.Parse(resp.StatusCode, resp.Header, HeaderLeaving)
+	if c.opts.Noticed != nil && !n.Empty() {
+		c.opts.Noticed(t, n)
+	}
+}
+
 // clientFor returns the HTTP client for a call: the one without idle connections when the call asks for a new one.
 func (c *Client) clientFor(call engine.Call) *http.Client {
 	if call.NewConnection {
@@ -183,7 +193,7 @@
 	e := x.wrong(kindOf(x.resp.StatusCode), fmt.Errorf("status %d", x.resp.StatusCode))
 	e.Status = x.resp.StatusCode
 	e.Body = body
-	e.RetryAfter = retryAfter(x.resp.Header)
+	e.RetryAfter = holdoff.RetryAfter(x.resp.Header)
 	return e
 }
 
@@ -210,14 +220,6 @@
 	}
 }
 
-func retryAfter(h http.Header) time.Duration {
-	s, err := strconv.ParseUint(h.Get("Retry-After"), 10, 16)
-	if err != nil {
-		return 0
-	}
-	return time.Duration(s) * time.Second
-}
-
 // readAll reads the whole body, at most limit bytes.
 func (x *exchange) readAll(limit int64) ([]byte, error) {
 	var buf bytes.Buffer
--- a/pkg/engine/openai/client.go
+++ b/pkg/engine/openai/client.go
@@ -10,6 +10,9 @@
 //	X-Daisyhatch-Resumed-From  the server's answer: index of its first token
 //	X-Daisyhatch-Prefill       1 asks to run the prompt only; the answer is a whole completion without text
 //	X-Daisyhatch-Incarnation   the server's incarnation, on every answer
+//	Server-Leaving             1 on every answer of a server that is about to end
+//
+// A server that turns a call away with 503 may tell in Retry-After for how many seconds it wants none from this VM.
 //
 // An answer that carries another attempt's ID is dropped. One that carries none is taken, unless the server announced
 // the capability "attempt-id". A server that announced the capability "incarnation" is asked for it on each new
@@ -24,6 +27,7 @@
 	"time"
 
 	"github.com/daisyhatch/daisyhatch/pkg/engine"
+	"github.com/daisyhatch/daisyhatch/pkg/holdoff"
 )
 
 // Headers that the protocol adds.
@@ -33,6 +37,7 @@
 	HeaderPriority    = "X-Daisyhatch-Priority"
 	HeaderResumeFrom  = "X-Daisyhatch-Resume-From"
 	HeaderResumedFrom = "X-Daisyhatch-Resumed-From"
+	HeaderLeaving     = "Server-Leaving"
 	HeaderIncarnation = "X-Daisyhatch-Incarnation"
 	HeaderPrefill     = "X-Daisyhatch-Prefill"
 )
@@ -75,6 +80,8 @@
 	MaxConnAge time.Duration
 	// KeepAlive is the time between the TCP keep-alive probes of a quiet connection.
 	KeepAlive time.Duration
+	// Noticed is told of answers whose server leaves, or wants no calls for a time; nil drops that.
+	Noticed func(t engine.Target, n holdoff.Notice)
 	// Dial makes connections; nil dials TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
--- a/pkg/engine/openai/control.go
+++ b/pkg/engine/openai/control.go
@@ -186,6 +186,7 @@
 		return controlError(ctx, t, s.giveUp(), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	c.noticed(t, resp)
 	body, err := r.read(resp)
 	if err != nil {
 		return controlError(ctx, t, true, err)
--- a/pkg/grant/holder.go
+++ b/pkg/grant/holder.go
@@ -6,6 +6,7 @@
 	"time"
 
 	daisyhatchv1 "github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1"
+	"github.com/daisyhatch/daisyhatch/pkg/holdoff"
 	"github.com/daisyhatch/daisyhatch/pkg/invariant"
 )
 
@@ -79,6 +80,8 @@
 	order map[string][]*Held
 	// sessions are by grantor.
 	sessions map[string]*session
+	// words are what servers said in their answers to this VM.
+	words *holdoff.Book
 }
 
 // ask is the last request to one grantor.
@@ -96,6 +99,7 @@
 		held:     make(map[string]*Held),
 		order:    make(map[string][]*Held),
 		sessions: make(map[string]*session),
+		words:    holdoff.NewBook(),
 	}
 }
 
@@ -301,6 +305,7 @@
 			h.unlist(g)
 		}
 	}
+	h.words.Retain(func(server string) bool { return h.held[server] != nil }, now)
 }
 
 // Get returns what is held of a server.
@@ -315,7 +320,7 @@
 // Usable calls f for each server of the pool on which one more call may start now, oldest entry first.
 func (h *Holder) Usable(pool string, exclusive bool, now time.Time, f func(*Held)) {
 	for _, g := range h.order[pool] {
-		if g.Exclusive == exclusive && g.usable(now) {
+		if g.Exclusive == exclusive && h.usable(g, now) {
 			f(g)
 		}
 	}
@@ -327,7 +332,7 @@
 	l := h.order[pool]
 	for i := range l {
 		g := l[(start+i)%len(l)]
-		if g.Exclusive == exclusive && g.usable(now) && !f(g) {
+		if g.Exclusive == exclusive && h.usable(g, now) && !f(g) {
 			return
 		}
 	}
@@ -339,7 +344,7 @@
 // Find returns the entry of a server on which one more call may start now; nil when there is none.
 func (h *Holder) Find(server string, exclusive bool, now time.Time) *Held {
 	g := h.held[server]
-	if g == nil || g.Exclusive != exclusive || !g.usable(now) {
+	if g == nil || g.Exclusive != exclusive || !h.usable(g, now) {
 		return nil
 	}
 	return g
@@ -348,20 +353,30 @@
 // Each calls f for each server of the pool whose grant lasts, oldest entry first.
 func (h *Holder) Each(pool string, now time.Time, f func(*Held)) {
 	for _, g := range h.order[pool] {
-		if g.Units > 0 && now.Before(g.Until) {
+		if g.Units > 0 && now.Before(g.Until) && h.accepts(g, now) {
 			f(g)
 		}
 	}
 }
 
-func (g *Held) usable(now time.Time) bool {
-	return g.InFlight < g.Units && now.Before(g.Until)
+func (h *Holder) usable(g *Held, now time.Time) bool {
+	return g.InFlight < g.Units && now.Before(g.Until) && h.accepts(g, now)
+}
+
+// accepts reports whether a server takes calls, as far as its answers say.
+func (h *Holder) accepts(g *Held, now time.Time) bool {
+	return h.words.Open(g.Server.Server, g.Server.Incarnation, now)
+}
+
+// Noticed takes over what an incarnation of a server said in an answer, and reports whether that is news.
+func (h *Holder) Noticed(server, incarnation string, n holdoff.Notice, now time.Time) bool {
+	return h.words.Note(server, incarnation, n, now)
 }
 
 // Start notes that a call starts on a server. It returns false when no unit is left.
 func (h *Holder) Start(server string, now time.Time) bool {
 	g := h.held[server]
-	if g == nil || !g.usable(now) {
+	if g == nil || !h.usable(g, now) {
 		return false
 	}
 	g.InFlight++
@@ -371,7 +386,7 @@
 // Valid reports whether a call that was started may still be sent.
 func (h *Holder) Valid(server, incarnation string, now time.Time) bool {
 	g := h.held[server]
-	return g != nil && g.Server.Incarnation == incarnation && g.Units > 0 && now.Before(g.Until)
+	return g != nil && g.Server.Incarnation == incarnation && g.Units > 0 && now.Before(g.Until) && h.accepts(g, now)
 }
 
 // Outcome tells how a call ended.
--- a/pkg/slots/slot.go
+++ b/pkg/slots/slot.go
@@ -7,6 +7,7 @@
 	"github.com/daisyhatch/daisyhatch/pkg/dispatch"
 	"github.com/daisyhatch/daisyhatch/pkg/engine"
 	"github.com/daisyhatch/daisyhatch/pkg/grant"
+	"github.com/daisyhatch/daisyhatch/pkg/holdoff"
 	"github.com/daisyhatch/daisyhatch/pkg/routing"
 )
 
@@ -127,3 +128,14 @@
 	sl.pool.picker.End(sl.target.Server, l, now)
 	s.holder.Done(sl.target.Server, sl.target.Incarnation, o, now)
 }
+
+// Noticed takes over what a server said of itself in an answer: one that leaves, or wants no calls for a time, gets none
+// from this VM.
+func (s *Slots) Noticed(t engine.Target, n holdoff.Notice) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.holder.Noticed(t.Server, t.Incarnation, n, time.Now()) {
+		s.opts.Logger.Info("server wants no more calls", "server", t.Server, "incarnation", t.Incarnation, "leaving", n.Leaving,
+			"wait_ms", n.Wait.Milliseconds())
+	}
+}
