Quarantine: ends of servers within 100 ms count once against a request

With three servers lost together they would have been refused.

Cause: what began after the last end was known counted as another end. But servers that ended together are found out one after the other, each by the repeat of what the one before lost.

Change: a run counts if the last end was known for 100 ms when it began. Stage pieces under which a server ended wait as long, so that the next end tells something; requests are still repeated at once, which costs one server more for each of the first two attempts of an idempotent one (5 instead of 3 in all), since their shortest targets are no longer than the wait.

--- a/pkg/quarantine/flights.go
+++ b/pkg/quarantine/flights.go
@@ -31,14 +31,18 @@
 	id          uint64
 	fingerprint uint64
 	alone       bool
-	// run is what was known of the request when it began; nil when that is not noted.
+	// run is what was known of the request when it began; nil when that is not noted. own is the same of the crashes that
+	// were not in the log yet.
 	run *daisyhatchv1.CrashRun
+	own uint32
 }
 
 // crash is the report of one server's crash.
 type crash struct {
 	key     serverKey
 	command *daisyhatchv1.CrashCommand
+	// own is what flight.own says of each fingerprint.
+	own []uint32
 	// done is closed when the report was committed, or failed with err.
 	done chan struct{}
 	err  error
@@ -86,7 +90,8 @@
 			return c, false
 		}
 	}
-	c = &crash{key: k, command: s.command(k, f), done: make(chan struct{})}
+	c = &crash{key: k, done: make(chan struct{})}
+	c.command = s.command(c, f)
 	s.crashes = append(s.crashes, c)
 	if len(s.crashes) > keptCrashes {
 		s.crashes = s.crashes[1:]
@@ -96,24 +101,26 @@
 
 // command lists a request and all others in flight on the server. One that ran alone is marked so only if nothing else was
 // there.
-func (s *inFlight) command(k serverKey, first flight) *daisyhatchv1.CrashCommand {
-	c := &daisyhatchv1.CrashCommand{Server: k.server, ServerIncarnation: k.incarnation, Alone: len(s.on[k]) > 0}
-	name(c, first)
-	for _, f := range s.on[k] {
+func (s *inFlight) command(of *crash, first flight) *daisyhatchv1.CrashCommand {
+	flights := s.on[of.key]
+	c := &daisyhatchv1.CrashCommand{Server: of.key.server, ServerIncarnation: of.key.incarnation, Alone: len(flights) > 0}
+	of.name(c, first)
+	for _, f := range flights {
 		c.Alone = c.Alone && f.alone && f.fingerprint == first.fingerprint
-		name(c, f)
+		of.name(c, f)
 	}
 	return c
 }
 
 // name adds a request to a report.
-func name(c *daisyhatchv1.CrashCommand, f flight) {
-	if len(c.Fingerprints) >= maxNamed || slices.Contains(c.Fingerprints, f.fingerprint) {
+func (c *crash) name(report *daisyhatchv1.CrashCommand, f flight) {
+	if len(report.Fingerprints) >= maxNamed || slices.Contains(report.Fingerprints, f.fingerprint) {
 		return
 	}
-	c.Fingerprints = append(c.Fingerprints, f.fingerprint)
+	report.Fingerprints = append(report.Fingerprints, f.fingerprint)
+	c.own = append(c.own, f.own)
 	if f.run != nil {
-		c.Runs = append(c.Runs, f.run)
+		report.Runs = append(report.Runs, f.run)
 	}
 }
 
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -43,7 +43,7 @@
 
 // Tracker keeps requests under which servers ended one after the other from being run again. Unlike a Quarantine it makes no
 // request wait: the first repeat goes out at once, and from the third crash on the request is refused on all VMs. What
-// others of its kind survive, and what ended several servers at the same time, doesn't count. It is safe for concurrent use.
+// others of its kind survive, and what ended several servers at about the same time, doesn't count. It is safe for concurrent use.
 type Tracker struct {
 	opts  TrackerOptions
 	start time.Time
@@ -69,7 +69,7 @@
 func (t *Tracker) Begin(target engine.Target, fingerprint uint64) *Run {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return &Run{tracker: t, target: target, flight: t.memory.start(target, fingerprint)}
+	return &Run{tracker: t, target: target, flight: t.memory.start(target, fingerprint, time.Since(t.start))}
 }
 
 // End notes that the request is not on the server any more. It may be called again.
@@ -127,20 +127,30 @@
 func (t *Tracker) Served(fingerprint uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.memory.serve(fingerprint) && t.opts.Reporter != nil && t.reports < maxReports {
-		t.reports++
-		go t.clear(fingerprint)
+	if t.memory.serve(fingerprint, time.Since(t.start)) {
+		t.tellServed([]uint64{fingerprint})
 	}
 }
 
-func (t *Tracker) clear(fingerprint uint64) {
+// tellServed tells the other VMs of suspects that were served; t.mu is held.
+func (t *Tracker) tellServed(fingerprints []uint64) {
+	if len(fingerprints) == 0 || t.opts.Reporter == nil || t.reports >= maxReports {
+		return
+	}
+	t.reports++
+	go t.clear(fingerprints)
+}
+
+func (t *Tracker) clear(fingerprints []uint64) {
 	ctx, cancel := context.WithTimeout(context.Background(), clearTimeout)
 	defer cancel()
 	_, err := persist(ctx, trackerMostPause, func() (struct{}, error) {
-		return struct{}{}, t.opts.Clear(ctx, []uint64{fingerprint})
+		return struct{}{}, t.opts.Clear(ctx, fingerprints)
 	})
-	suspectsCleared.Inc()
-	t.opts.Log.Info("suspect was served", "fingerprint", hex(fingerprint), "shared", err == nil)
+	for _, f := range fingerprints {
+		suspectsCleared.Inc()
+		t.opts.Log.Info("suspect was served", "fingerprint", hex(f), "shared", err == nil)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reports--
@@ -150,12 +160,13 @@
 func (t *Tracker) Learn(version uint64, list []*daisyhatchv1.Suspect) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	convicted, cleared := t.memory.learn(version, list, time.Since(t.start))
-	for _, f := range convicted {
+	n := t.memory.learn(version, list, time.Since(t.start))
+	t.tellServed(n.served)
+	for _, f := range n.convicted {
 		convictedKnown.Inc()
 		t.opts.Log.Info("request is refused from now on", "fingerprint", hex(f), "crashes", t.memory.crashCount(f), "list", version)
 	}
-	for _, f := range cleared {
+	for _, f := range n.cleared {
 		t.opts.Log.Info("request is not refused any more", "fingerprint", hex(f), "list", version)
 	}
 }
--- a/pkg/stagecall/pool.go
+++ b/pkg/stagecall/pool.go
@@ -170,6 +170,7 @@
 	results, err := p.send(c)
 	reading.Stop()
 	state := p.end(c, runs, err)
+	c.ended = state == liveness.Ended
 	now := time.Now()
 	p.mu.Lock()
 	o := Outcome{Failed: err != nil}
@@ -265,6 +266,10 @@
 	again := r.Reason == dialect.ReasonError || r.Reason == dialect.ReasonRoom
 	inTime := j.Deadline.Sub(now) > p.sched.batch.CallTime(1) && !p.judge(j)
 	if again && inTime && !w.closed && piece.Tries < maxTries && (shed || r.Reason == dialect.ReasonRoom || p.budget.Allow(now)) {
+		if c.ended {
+			// So that the next end, if there is one, tells something about the request.
+			j.NotBefore = now.Add(quarantine.SettleTime)
+		}
 		if len(j.Pieces) == 0 {
 			p.sched.Add(j, now)
 		}
--- a/pkg/stagecall/scheduler.go
+++ b/pkg/stagecall/scheduler.go
@@ -21,6 +21,8 @@
 	Key         string
 	// Alone is true once several servers ended under the request: it shares no call with others.
 	Alone bool
+	// NotBefore is when its pieces may go out again after a server ended under them.
+	NotBefore time.Time
 	// Pieces are those still to be run.
 	Pieces []Piece
 	// Deadline is when the result is worth nothing, Target until when it is worth most.
@@ -68,6 +70,8 @@
 	Expected time.Duration
 	// inputsRead is true once the pieces were worked on for inputReadTime. The pool's lock guards it.
 	inputsRead bool
+	// ended is true when the server ended under the call.
+	ended bool
 }
 
 // CallPart is the pieces of one job within a call.
@@ -290,7 +294,7 @@
 
 // mayRun reports whether a job may go to a server now.
 func (s *Scheduler) mayRun(j *Job, v Server, st *serverState, now time.Time) bool {
-	if now.Before(st.roomless) {
+	if now.Before(st.roomless) || now.Before(j.NotBefore) {
 		return false
 	}
 	if j.CrossingBytes < largeCrossing {
@@ -398,6 +402,11 @@
 		return 0, false
 	}
 	wait := pollInterval
+	for _, j := range s.jobs {
+		if j.NotBefore.After(now) {
+			wait = min(wait, j.NotBefore.Sub(now))
+		}
+	}
 	for _, st := range s.servers {
 		if st.avoided.After(now) {
 			wait = min(wait, st.avoided.Sub(now))
--- a/pkg/stagecall/scheduler_test.go
+++ b/pkg/stagecall/scheduler_test.go
@@ -409,3 +409,22 @@
 		require.Equal(t, 4, seen)
 	}
 }
+
+// Pieces under which a server ended wait a moment; others go out meanwhile.
+func TestPiecesUnderWhichAServerEndedWaitAMoment(t *testing.T) {
+	s := NewScheduler(batch)
+	held, other := job("a", 1, 0, time.Second, 5*time.Second), job("b", 1, 0, time.Second, 5*time.Second)
+	held.NotBefore = begin.Add(30 * time.Millisecond)
+	s.Arrive(held, begin)
+	s.Arrive(other, begin)
+	c, ok := s.Next([]Server{{ID: "s"}}, begin)
+	require.True(t, ok)
+	require.Len(t, c.Parts, 1)
+	require.Equal(t, other, c.Parts[0].Job)
+	wait, ok := s.Wait(begin)
+	require.True(t, ok)
+	require.Equal(t, 30*time.Millisecond, wait)
+	c, ok = s.Next([]Server{{ID: "s2"}}, begin.Add(wait))
+	require.True(t, ok)
+	require.Equal(t, held, c.Parts[0].Job)
+}
