Quarantine, fleet: one line for a server's end; followers are woken only when the shared list changed

A crash of an engine wrote a line for each of its up to 64 requests on each VM, and each report woke 300 streams although the list that VMs are told of had not changed. One line a report now; the list's version rides on the heartbeat (400 ms), which the farm's tests already allow for.

--- a/pkg/fleet/control.go
+++ b/pkg/fleet/control.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -161,7 +162,7 @@
 
 // takeOver copies the replicated state into the VM's State.
 func (c *Control) takeOver(ctx context.Context) {
-	told := uint64(0)
+	told, shared := uint64(0), []*daisyhatchv1.Suspect(nil)
 	for {
 		view, changed := c.opts.Machine.View()
 		r := view.Revision
@@ -170,9 +171,13 @@
 			c.adopt(r.Number, r.Version, r.Document, r.DomainsOut)
 		}
 		if view.SuspectsVersion != told {
-			told = view.SuspectsVersion
-			c.opts.Suspects(told, sharedSuspects(view.Suspects))
-			c.opts.State.wakeFollowers()
+			before := shared
+			told, shared = view.SuspectsVersion, sharedSuspects(view.Suspects)
+			c.opts.Suspects(told, shared)
+			if !slices.EqualFunc(before, shared, sameSuspect) {
+				// Otherwise the heartbeat is soon enough: many servers may end at the same time.
+				c.opts.State.wakeFollowers()
+			}
 		}
 		select {
 		case <-ctx.Done():
--- a/pkg/fleet/suspects.go
+++ b/pkg/fleet/suspects.go
@@ -29,6 +29,10 @@
 	return out
 }
 
+func sameSuspect(a, b *daisyhatchv1.Suspect) bool {
+	return a.GetFingerprint() == b.GetFingerprint() && a.GetState() == b.GetState() && a.GetCrashes() == b.GetCrashes()
+}
+
 // ReportCrash implements FleetService and quarantine.CrashClient.
 func (c *Control) ReportCrash(
 	ctx context.Context, req *connect.Request[daisyhatchv1.ReportCrashRequest],
--- a/pkg/quarantine/memory.go
+++ b/pkg/quarantine/memory.go
@@ -21,8 +21,8 @@
 	// servedFor is how long after it was served a request is no crasher, whatever the list says: other VMs may not have heard
 	// of it. It is short, since another version of the servers may end under what the former one served.
 	servedFor = 5 * time.Second
-	// maxCrashedMs is the longest that a conviction is told to callers, in milliseconds.
-	maxCrashedMs = suspects.ConvictionMs
+	// maxRefusalMs is the longest that a request is refused without news from the log, in milliseconds.
+	maxRefusalMs = suspects.ConvictionMs
 )
 
 // memory is what a VM knows of the requests under which servers ended. It is pure: the time comes in, counted from a fixed
@@ -110,10 +110,10 @@
 		}
 	}
 	s := m.shared[fingerprint]
-	if s.GetState() != daisyhatchv1.SuspectState_SUSPECT_STATE_CONVICTED || (now-s.since).Milliseconds() >= maxCrashedMs {
+	if s.GetState() != daisyhatchv1.SuspectState_SUSPECT_STATE_CONVICTED || (now-s.since).Milliseconds() >= maxRefusalMs {
 		return 0, false
 	}
-	left := min(max(s.GetExpiresUnixMs()-wallMs, 0), maxCrashedMs)
+	left := min(max(s.GetExpiresUnixMs()-wallMs, 0), maxRefusalMs)
 	return time.Duration(left) * time.Millisecond, true
 }
 
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"sync"
 	"time"
@@ -116,11 +117,14 @@
 		return
 	}
 	t.memory.committed(c, res, time.Since(t.start))
+	var again []string
 	for _, s := range res.GetSuspects() {
-		t.opts.Log.Info("server ended under a request", "server", c.GetServer(), "incarnation", c.GetServerIncarnation(),
-			"fingerprint", hex(s.GetFingerprint()), "crashes", s.GetCrashes(), "refused", s.GetState() == daisyhatchv1.SuspectState_SUSPECT_STATE_CONVICTED,
-			"list", res.GetVersion())
+		if s.GetCrashes() >= suspects.SharedCrashes {
+			again = append(again, fmt.Sprintf("%s:%d", hex(s.GetFingerprint()), s.GetCrashes()))
+		}
 	}
+	t.opts.Log.Info("server ended under requests", "server", c.GetServer(), "incarnation", c.GetServerIncarnation(),
+		"requests", len(c.GetFingerprints()), "suspects", again, "list", res.GetVersion())
 }
 
 // Served notes that a request was served, which clears it on all VMs.
@@ -191,10 +195,3 @@
 }
 
 func hex(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
-
-// Size returns how many fingerprints are kept.
-func (t *Tracker) Size() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.memory.own.Records()) + len(t.memory.shared) + len(t.memory.served)
-}
