--- a/pkg/fleet/streams_test.go
+++ b/pkg/fleet/streams_test.go
@@ -159,3 +159,25 @@
 		}
 	})
 }
+
+// The control group is split, and both control VMs that an entry VM follows are on the side without a majority, while the VM
+// reaches the others. It has to hear one of those within 3 s, from when on the bounds of changes hold for it.
+func TestSplitGroupIsLeftInTime(t *testing.T) {
+	const bound = 3 * time.Second
+	split := time.Unix(1000, 0)
+	for vm := range 20 {
+		f := NewFollower(FollowerOptions{VM: fmt.Sprint("entry-", vm)})
+		var addresses []string
+		for _, s := range controls(5) {
+			addresses = append(addresses, s.address)
+		}
+		followed := f.wanted(addresses, split)
+		for _, a := range followed {
+			// Their last word that the group confirms them comes up to confirmLife after the split.
+			f.sources[a] = &follow{opened: split.Add(-time.Minute), since: split.Add(-time.Minute), current: split.Add(confirmLife)}
+		}
+		now := f.wanted(addresses, split.Add(bound))
+		require.True(t, slices.ContainsFunc(now, func(a string) bool { return !slices.Contains(followed, a) }),
+			"entry-%d still follows %v alone", vm, followed)
+	}
+}
