Limits that servers name: read, logged and counted, not heeded yet

The record holds no line about a limit, so that a VM that never read one can't be told from a VM that kept its own count of it. The header is read now (package serverlimit), what is believed of a server's limit is logged when it changes, and so is each request for a server with a limit: its kind, the limit, the limit's age and how many this VM has sent in the window over which the limit is averaged. Counters by kind, and of malformed values; a gauge of limits in force.

What is sent to whom is unchanged. Limits end by a later answer without one, are kept by incarnation, and expire after a minute without an answer that names them. A limit of 0 counts as one request in 20 s from all VMs: only an answer can tell that it is over. Malformed values, negative ones among them, neither name a limit nor end one.

Tests: go test ./pkg/serverlimit ./pkg/relay ./pkg/stagecall ./pkg/stageclient ./platform: ok; pkg/fleet: only the known red case fails.

--- a/pkg/allowance/allowance.go
+++ b/pkg/allowance/allowance.go
@@ -67,6 +67,20 @@
 	return len(w.recent(key, now))
 }
 
+// CountWithin returns the number of events of a key within the last d, at most the window's length, before now.
+func (w *Window) CountWithin(key string, d time.Duration, now time.Time) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	times := w.recent(key, now)
+	first, _ := slices.BinarySearchFunc(times, now.Add(-d), func(at, end time.Time) int {
+		if at.After(end) {
+			return 1
+		}
+		return -1
+	})
+	return len(times) - first
+}
+
 // Take adds an event unless the window holds limit events of the key already. It reports whether it added one.
 func (w *Window) Take(key string, limit int, now time.Time) bool {
 	w.mu.Lock()
@@ -86,6 +100,15 @@
 	w.events[key] = append(w.recent(key, now), now)
 }
 
+// Expire drops the keys whose events have all left the window.
+func (w *Window) Expire(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for key := range w.events {
+		w.recent(key, now)
+	}
+}
+
 // recent drops the events of a key that have left the window and returns the others; w.mu is held.
 func (w *Window) recent(key string, now time.Time) []time.Time {
 	times := w.events[key]
--- a/pkg/daemon/fleet.go
+++ b/pkg/daemon/fleet.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-chi/chi/v5"
 
 	daisyhatchv1 "github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1"
@@ -48,6 +49,7 @@
 		process: p, path: p.settings.File, dialect: d, state: fleet.NewState(),
 		roster: fleet.NewRoster(p.peerAddress(), p.seedPeers(p.settings.Fleet.Seeds)), pool: upstream.NewPool(nil),
 	}
+	metrics.GetOrCreateGauge("daisyhatch_server_limits", func() float64 { return float64(shared.state.LimitCount(time.Now())) })
 	var out []kernel.Service
 	if p.settings.VM.Control() {
 		out = append(out, &fleetControl{fleetShared: shared})
--- a/pkg/dialect/dialect.go
+++ b/pkg/dialect/dialect.go
@@ -16,6 +16,7 @@
 	"github.com/daisyhatch/daisyhatch/pkg/catalog"
 	"github.com/daisyhatch/daisyhatch/pkg/directory"
 	"github.com/daisyhatch/daisyhatch/pkg/holdoff"
+	"github.com/daisyhatch/daisyhatch/pkg/serverlimit"
 )
 
 // Errors of this package.
@@ -129,6 +130,8 @@
 	Load *Load
 	// Notice says whether the server is shutting down and for how long it wants no calls.
 	Notice holdoff.Notice
+	// Limit says how many requests the server takes from all VMs together.
+	Limit serverlimit.Notice
 }
 
 // Load is the load that a server reports: running and waiting requests, and the slots for running ones.
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -6,9 +6,11 @@
 	"sync"
 	"time"
 
+	"github.com/daisyhatch/daisyhatch/pkg/allowance"
 	"github.com/daisyhatch/daisyhatch/pkg/catalog"
 	"github.com/daisyhatch/daisyhatch/pkg/directory"
 	"github.com/daisyhatch/daisyhatch/pkg/holdoff"
+	"github.com/daisyhatch/daisyhatch/pkg/serverlimit"
 	"github.com/daisyhatch/daisyhatch/pkg/stageowner"
 )
 
@@ -36,7 +38,10 @@
 	confirmedAt time.Time
 	// holdoffs are the notices in servers' answers to this VM that they accept no calls.
 	holdoffs *holdoff.Tracker
-	owners   map[string]stageowner.Owner
+	// limits are the request rates to which servers limit all VMs together, and sends counts this VM's requests by server.
+	limits *serverlimit.Tracker
+	sends  *allowance.Window
+	owners map[string]stageowner.Owner
 	// ownersChanged is closed when an owner changes.
 	ownersChanged chan struct{}
 }
@@ -62,6 +67,7 @@
 func NewState() *State {
 	s := &State{
 		domainsOut: make(map[string]time.Time), domainsReturned: make(map[string]time.Time), dir: directory.New(), changed: make(chan struct{}), holdoffs: holdoff.NewTracker(),
+		limits: serverlimit.NewTracker(), sends: allowance.NewWindow(serverlimit.MaxWindow),
 		entries: newEntryTable(), owners: make(map[string]stageowner.Owner), ownersChanged: make(chan struct{}),
 	}
 	for k := range s.stamps {
@@ -201,6 +207,8 @@
 		_, known := s.dir.Get(id)
 		return known
 	}, now)
+	s.limits.Expire(now)
+	s.sends.Expire(now)
 	for _, v := range gone {
 		for _, m := range s.stamps {
 			delete(m, v.ID)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -27,6 +27,7 @@
 	"github.com/daisyhatch/daisyhatch/pkg/directory"
 	"github.com/daisyhatch/daisyhatch/pkg/fleet"
 	"github.com/daisyhatch/daisyhatch/pkg/holdoff"
+	"github.com/daisyhatch/daisyhatch/pkg/limiter"
 	"github.com/daisyhatch/daisyhatch/pkg/liveness"
 	"github.com/daisyhatch/daisyhatch/pkg/logsink"
 	"github.com/daisyhatch/daisyhatch/pkg/placement"
@@ -37,6 +38,7 @@
 
 // View is the relay's view of the system: the configuration and the state of servers and VMs.
 type View interface {
+	limiter.View
 	// Catalog returns the configuration in force; nil while none is known.
 	Catalog() *catalog.Set
 	// Current reports whether the control group has confirmed the state at least once since the process started.
@@ -97,6 +99,7 @@
 	opts        Options
 	cold        *allowance.Window
 	answeredLog *logsink.Budget
+	limiter     *limiter.Limiter
 	stopping    atomic.Bool
 	liveness    *liveness.Checker
 
@@ -112,7 +115,8 @@
 // New returns a Relay. Run must be called for its periodic cleanup.
 func New(o Options) *Relay {
 	return &Relay{
-		opts: o, cold: allowance.NewWindow(time.Second), answeredLog: logsink.NewBudget(logsink.AnsweredPerSecond), health: newHealth(), placements: placement.NewPlacer(),
+		opts: o, cold: allowance.NewWindow(time.Second), answeredLog: logsink.NewBudget(logsink.AnsweredPerSecond),
+		limiter: limiter.New(o.View, o.Log), health: newHealth(), placements: placement.NewPlacer(),
 		plainInFlight: make(map[string]int), maxTimeout: make(map[string]time.Duration),
 		liveness: liveness.New(o.Pool, func(id string) (directory.Server, bool) { return o.View.Server(id) }),
 	}
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -13,6 +13,7 @@
 	"github.com/daisyhatch/daisyhatch/pkg/allowance"
 	"github.com/daisyhatch/daisyhatch/pkg/catalog"
 	"github.com/daisyhatch/daisyhatch/pkg/fleet"
+	"github.com/daisyhatch/daisyhatch/pkg/limiter"
 	"github.com/daisyhatch/daisyhatch/pkg/placement"
 )
 
@@ -169,13 +170,27 @@
 		candidates = usable
 	}
 	for _, c := range r.rank(x, candidates, now) {
-		if !c.Cold || r.cold.Take(c.ID, r.coldShare(x.service, c.ID, now), now) {
+		if c.Cold && !r.cold.Take(c.ID, r.coldShare(x.service, c.ID, now), now) {
+			continue
+		}
+		if r.limiter.Take(c.Server, x.service.Name, x.sendKind(), x.call.ID) {
 			return c, true
 		}
 	}
 	return fleet.Candidate{}, false
 }
 
+// sendKind tells the first send of a request from a retry and from the continuation of a stream that broke off.
+func (x *exchange) sendKind() string {
+	switch {
+	case x.headSent:
+		return limiter.KindResume
+	case len(x.tried) > 0:
+		return limiter.KindRetry
+	}
+	return limiter.KindFirst
+}
+
 // preferredServerDomain returns the failure domain of the server that ranks first for the request now; empty without a
 // server.
 func (x *exchange) preferredServerDomain() string {
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -126,6 +126,7 @@
 	a := res.answer
 	parsed := x.relay.opts.Dialect.Answer(a.Status, a.Header)
 	x.recordNotice(c, parsed.Notice)
+	x.relay.limiter.Record(c.Server, x.service.Name, &parsed, parsed.Signed, res.start)
 	if parsed.NotRun || parsed.Misdirected {
 		res.status = sendNotRun
 		if a.Status == http.StatusConflict {
--- a/pkg/stagecall/pool.go
+++ b/pkg/stagecall/pool.go
@@ -10,6 +10,7 @@
 
 	"github.com/daisyhatch/daisyhatch/pkg/dialect"
 	"github.com/daisyhatch/daisyhatch/pkg/directory"
+	"github.com/daisyhatch/daisyhatch/pkg/limiter"
 	"github.com/daisyhatch/daisyhatch/pkg/liveness"
 	"github.com/daisyhatch/daisyhatch/pkg/quarantine"
 	"github.com/daisyhatch/daisyhatch/pkg/retry"
@@ -143,6 +144,7 @@
 			break
 		}
 		p.serverIDs[c.Server.Address] = c.Server.ID
+		p.runner.limiter.Take(c.Server.record(), p.service, limiter.KindStage, "")
 		go p.call(&c)
 	}
 	if wait, ok := p.sched.NextCheck(now); ok {
--- a/pkg/stagecall/release.go
+++ b/pkg/stagecall/release.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/daisyhatch/daisyhatch/pkg/limiter"
 	"github.com/daisyhatch/daisyhatch/pkg/upstream"
 )
 
@@ -95,6 +96,10 @@
 		r.opts.Log.Info("results not given up", "server_address", address, "count", len(handles), "reason", err.Error())
 		return
 	}
+	if known {
+		r.limiter.Take(v, v.Service, limiter.KindFree, "")
+	}
+	sent := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
 	a, err := r.opts.AuxPool.Do(ctx, upstream.Call{
@@ -106,7 +111,9 @@
 		return
 	}
 	if known {
-		r.applyNotice(v, r.opts.Dialect.Answer(a.Status, a.Header).Notice)
+		meta := r.opts.Dialect.Answer(a.Status, a.Header)
+		r.applyNotice(v, meta.Notice)
+		r.limiter.Record(v, v.Service, &meta, false, sent)
 	}
 	// The body carries no information; a read error only drops the connection.
 	_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxResponseBytes))
--- a/pkg/stagecall/runner.go
+++ b/pkg/stagecall/runner.go
@@ -14,6 +14,7 @@
 	"github.com/daisyhatch/daisyhatch/pkg/dialect"
 	"github.com/daisyhatch/daisyhatch/pkg/directory"
 	"github.com/daisyhatch/daisyhatch/pkg/holdoff"
+	"github.com/daisyhatch/daisyhatch/pkg/limiter"
 	"github.com/daisyhatch/daisyhatch/pkg/liveness"
 	"github.com/daisyhatch/daisyhatch/pkg/quarantine"
 	"github.com/daisyhatch/daisyhatch/pkg/retry"
@@ -49,6 +50,7 @@
 
 // View is the state of the system that a Runner reads and updates.
 type View interface {
+	limiter.View
 	Catalog() *catalog.Set
 	// Serving returns the stage servers that may get calls now.
 	Serving(service string, now time.Time) []Server
@@ -84,6 +86,7 @@
 type Runner struct {
 	opts     Options
 	liveness *liveness.Checker
+	limiter  *limiter.Limiter
 
 	mu           sync.Mutex
 	pools        map[string]*pool
@@ -103,7 +106,7 @@
 		o.Suspects = quarantine.NewTracker(quarantine.TrackerOptions{Log: o.Log})
 	}
 	checker := liveness.New(o.AuxPool, func(id string) (directory.Server, bool) { return o.View.Server(id) })
-	return &Runner{opts: o, liveness: checker, pools: make(map[string]*pool), pendingFrees: make(map[string]*pendingFree)}
+	return &Runner{opts: o, liveness: checker, limiter: limiter.New(o.View, o.Log), pools: make(map[string]*pool), pendingFrees: make(map[string]*pendingFree)}
 }
 
 func (r *Runner) pool(service string) (*pool, error) {
--- a/pkg/stagecall/send.go
+++ b/pkg/stagecall/send.go
@@ -9,6 +9,7 @@
 	"github.com/daisyhatch/daisyhatch/pkg/dialect"
 	"github.com/daisyhatch/daisyhatch/pkg/directory"
 	"github.com/daisyhatch/daisyhatch/pkg/holdoff"
+	"github.com/daisyhatch/daisyhatch/pkg/limiter"
 	"github.com/daisyhatch/daisyhatch/pkg/upstream"
 )
 
@@ -56,6 +57,7 @@
 	}()
 	meta := d.Answer(a.Status, a.Header)
 	p.runner.applyNotice(c.Server.record(), meta.Notice)
+	p.runner.limiter.Record(c.Server.record(), p.service, &meta, false, c.Begun)
 	answer, err := io.ReadAll(io.LimitReader(a.Body, maxResponseBytes))
 	if err != nil {
 		return nil, err
@@ -72,8 +74,10 @@
 	}
 	if err != nil {
 		a.Discard()
+		return nil, err
 	}
-	return results, err
+	p.runner.limiter.Record(c.Server.record(), p.service, &meta, true, c.Begun)
+	return results, nil
 }
 
 // errNoCallsWanted means that a call was not sent because the server asked for no more calls.
@@ -108,7 +112,7 @@
 
 // queryRoom queries a server for its room and records the answer.
 func (p *pool) queryRoom(v Server) {
-	free, err := p.runner.fetchRoom(v)
+	free, err := p.runner.fetchRoom(v, p.service)
 	now := time.Now()
 	if err != nil {
 		p.runner.opts.Log.Info("server did not tell its room", "service", p.service, "server", v.ID, "reason", err.Error())
@@ -124,8 +128,9 @@
 	p.dispatch()
 }
 
-func (r *Runner) fetchRoom(v Server) (dialect.Room, error) {
-	d := r.opts.Dialect
+func (r *Runner) fetchRoom(v Server, service string) (dialect.Room, error) {
+	d, sent := r.opts.Dialect, time.Now()
+	r.limiter.Take(v.record(), service, limiter.KindRoom, "")
 	ctx, cancel := context.WithTimeout(context.Background(), roomQueryTimeout)
 	defer cancel()
 	method, path := d.StageReport()
@@ -140,10 +145,16 @@
 		// Closing only returns or drops the connection.
 		_ = a.Body.Close()
 	}()
-	r.applyNotice(v.record(), d.Answer(a.Status, a.Header).Notice)
+	meta := d.Answer(a.Status, a.Header)
+	r.applyNotice(v.record(), meta.Notice)
+	r.limiter.Record(v.record(), service, &meta, false, sent)
 	answer, err := io.ReadAll(io.LimitReader(a.Body, maxResponseBytes))
 	if err != nil {
 		return dialect.Room{}, err
 	}
-	return d.StageRoom(answer)
+	room, err := d.StageRoom(answer)
+	if err == nil {
+		r.limiter.Record(v.record(), service, &meta, true, sent)
+	}
+	return room, err
 }
--- a/pkg/stageclient/stageclient_test.go
+++ b/pkg/stageclient/stageclient_test.go
@@ -20,6 +20,7 @@
 	"github.com/daisyhatch/daisyhatch/pkg/catalog"
 	"github.com/daisyhatch/daisyhatch/pkg/directory"
 	"github.com/daisyhatch/daisyhatch/pkg/holdoff"
+	"github.com/daisyhatch/daisyhatch/pkg/limiter"
 	"github.com/daisyhatch/daisyhatch/pkg/relay"
 	"github.com/daisyhatch/daisyhatch/pkg/stagecall"
 	"github.com/daisyhatch/daisyhatch/pkg/stageowner"
@@ -94,7 +95,7 @@
 }
 
 // noServices is a stagecall.View without services, so that a job run on this VM itself fails at once.
-type noServices struct{}
+type noServices struct{ limiter.View }
 
 func (noServices) Catalog() *catalog.Set                        { return nil }
 func (noServices) Serving(string, time.Time) []stagecall.Server { return nil }
