--- a/pkg/daemon/fleet.go
+++ b/pkg/daemon/fleet.go
@@ -46,7 +46,7 @@
 		return nil, err
 	}
 	shared := &fleetShared{
-		process: p, path: p.settings.File, dialect: d, state: fleet.NewState(),
+		process: p, path: p.settings.File, dialect: d, state: fleet.NewState(fleet.StateOptions{VM: p.settings.VM.Name}),
 		roster: fleet.NewRoster(p.peerAddress(), p.seedPeers(p.settings.Fleet.Seeds)), pool: upstream.NewPool(nil),
 	}
 	metrics.GetOrCreateGauge("daisyhatch_server_limits", func() float64 { return float64(shared.state.LimitCount(time.Now())) })
--- a/pkg/fleet/feed_test.go
+++ b/pkg/fleet/feed_test.go
@@ -18,8 +18,8 @@
 // are sent: sending all of 2,800 servers at each refresh would cost more than everything else.
 func TestFollowStreamSendsOnlyChangedServers(t *testing.T) {
 	now := time.Now()
-	control := NewControl(ControlOptions{State: NewState()}, nil)
-	known := NewState()
+	control := NewControl(ControlOptions{State: NewState(StateOptions{})}, nil)
+	known := NewState(StateOptions{})
 	f := NewFollower(FollowerOptions{State: known, Log: logr.Discard()})
 	s, feed := &followStream{}, &feed{control: control, refresh: refreshInterval}
 	sequence := uint64(0)
@@ -59,9 +59,9 @@
 // peerRelayInterval: with 3,000 servers, sending all of them each second took most of a core.
 func TestPeersAreSentDirectAnnouncementsMoreOften(t *testing.T) {
 	now := time.Now()
-	state := NewState()
+	state := NewState(StateOptions{})
 	f := &feed{control: NewControl(ControlOptions{State: state}, nil), refresh: peerRefreshInterval, peer: true}
-	known := NewState()
+	known := NewState(StateOptions{})
 	server := func(id string, sequence uint64, at time.Time) directory.Server {
 		return directory.Server{ID: id, Born: 1, Sequence: sequence, Service: "s", Address: id, State: directory.Ready, Heard: at}
 	}
@@ -88,7 +88,7 @@
 
 // A follower that reads its first message slowly delays the next one by at most snapshotSlotTimeout.
 func TestConcurrentSnapshotsAreLimited(t *testing.T) {
-	c := NewControl(ControlOptions{State: NewState()}, nil)
+	c := NewControl(ControlOptions{State: NewState(StateOptions{})}, nil)
 	var release []func()
 	for range maxConcurrentSnapshots {
 		r, err := c.acquireSnapshotSlot(t.Context())
--- a/pkg/fleet/follower.go
+++ b/pkg/fleet/follower.go
@@ -266,7 +266,7 @@
 	state := f.opts.State
 	f.opts.Roster.Add(append(m.GetControlAddresses(), address), now)
 	if m.GetEntriesComplete() || len(m.GetEntriesAdded())+len(m.GetEntriesRemoved()) > 0 {
-		state.updateEntries(address, m.GetEntriesAdded(), m.GetEntriesRemoved(), m.GetEntriesComplete(), now)
+		state.UpdateEntries(address, m.GetEntriesAdded(), m.GetEntriesRemoved(), m.GetEntriesComplete(), now)
 	} else {
 		state.touchEntries(address, now)
 	}
--- a/pkg/fleet/holdoff_test.go
+++ b/pkg/fleet/holdoff_test.go
@@ -20,7 +20,7 @@
 // have waited for its connection meanwhile.
 func TestServerInHoldoffGetsNoCalls(t *testing.T) {
 	now := time.Now()
-	s := NewState()
+	s := NewState(StateOptions{})
 	leaving, busy := announced(s, "leaving", 1, now), announced(s, "busy", 1, now)
 	require.True(t, s.Noticed(leaving, holdoff.Notice{Leaving: true}, now))
 	require.False(t, s.Noticed(leaving, holdoff.Notice{Leaving: true}, now), "a repeated notice is not new")
@@ -42,7 +42,7 @@
 // A holdoff notice must outlive the server's record: a late announcement would otherwise bring back a server that is leaving.
 func TestHoldoffOutlivesServerRecord(t *testing.T) {
 	now := time.Now()
-	s := NewState()
+	s := NewState(StateOptions{})
 	v := announced(s, "s0", 1, now)
 	s.Noticed(v, holdoff.Notice{Leaving: true}, now)
 	require.Len(t, s.Expire(now.Add(time.Minute)), 1)
--- a/pkg/fleet/owners_test.go
+++ b/pkg/fleet/owners_test.go
@@ -21,7 +21,7 @@
 }
 
 func TestOnlyOwnerAcceptsJobs(t *testing.T) {
-	state := NewState()
+	state := NewState(StateOptions{})
 	c := &Control{opts: ControlOptions{State: state, Address: "a"}}
 	_, ok := c.owns("s", 0)
 	require.False(t, ok, "the service has no owner")
@@ -38,7 +38,7 @@
 
 // Followers must be sent a new owner at once, not with the next heartbeat, since their jobs wait for it.
 func TestNewOwnerWakesFollowers(t *testing.T) {
-	state := NewState()
+	state := NewState(StateOptions{})
 	changed := state.Changed()
 	state.mergeOwners([]stageowner.Owner{{Service: "s", Address: "a", Term: 1}})
 	select {
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -21,6 +21,9 @@
 // State is what a VM of a fleet knows: the configuration in force, the failure domains out of service, the backend
 // servers, the owners of stage calls and the entry VMs. It is safe for concurrent use.
 type State struct {
+	// vm is the VM's id among the entry VMs.
+	vm uint64
+
 	mu       sync.RWMutex
 	config   *catalog.Set
 	revision uint64
@@ -63,9 +66,16 @@
 	}
 }
 
+// StateOptions configure a State.
+type StateOptions struct {
+	// VM is the VM's name, under which it is counted among the entry VMs.
+	VM string
+}
+
 // NewState returns an empty State.
-func NewState() *State {
+func NewState(o StateOptions) *State {
 	s := &State{
+		vm:         EntryID(o.VM),
 		domainsOut: make(map[string]time.Time), domainsReturned: make(map[string]time.Time), dir: directory.New(), changed: make(chan struct{}), holdoffs: holdoff.NewTracker(),
 		limits: serverlimit.NewTracker(), sends: allowance.NewWindow(serverlimit.MaxWindow),
 		entries: newEntryTable(), owners: make(map[string]stageowner.Owner), ownersChanged: make(chan struct{}),
@@ -431,7 +441,7 @@
 }
 
 // updateEntries records the entry VMs that a control VM reported.
-func (s *State) updateEntries(control string, added, removed []uint64, complete bool, now time.Time) {
+func (s *State) UpdateEntries(control string, added, removed []uint64, complete bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.entries.update(control, added, removed, complete, now)
--- a/pkg/fleet/streams_test.go
+++ b/pkg/fleet/streams_test.go
@@ -108,20 +108,20 @@
 // would cost too much.
 func TestEntryVMListsAreSentAsChanges(t *testing.T) {
 	now := time.Unix(1000, 0)
-	c := &Control{opts: ControlOptions{State: NewState()}, started: now.Add(-time.Hour), followers: make(map[uint64]entryFollower)}
+	c := &Control{opts: ControlOptions{State: NewState(StateOptions{})}, started: now.Add(-time.Hour), followers: make(map[uint64]entryFollower)}
 	f := &feed{control: c}
-	known := NewState()
+	known := NewState(StateOptions{})
 	take := func() *daisyhatchv1.FollowResponse {
 		now = now.Add(entriesInterval)
 		m := &daisyhatchv1.FollowResponse{}
 		f.fillEntries(m, now)
-		known.updateEntries("control", m.GetEntriesAdded(), m.GetEntriesRemoved(), m.GetEntriesComplete(), now)
+		known.UpdateEntries("control", m.GetEntriesAdded(), m.GetEntriesRemoved(), m.GetEntriesComplete(), now)
 		return m
 	}
 	for i := range 295 {
 		c.addFollowerStream(&daisyhatchv1.FollowRequest{Vm: fmt.Sprint("entry-", i)})
 	}
-	c.opts.State.updateEntries("other control VM", []uint64{EntryID("entry-elsewhere")}, nil, true, now)
+	c.opts.State.UpdateEntries("other control VM", []uint64{EntryID("entry-elsewhere")}, nil, true, now)
 	require.Len(t, take().GetEntriesAdded(), 296)
 	require.Len(t, known.Entries(now), 296)
 	c.addFollowerStream(&daisyhatchv1.FollowRequest{Vm: "entry-new"})
@@ -138,7 +138,7 @@
 // large.
 func TestNewControlVMSendsNoEntryVMsAtFirst(t *testing.T) {
 	now := time.Unix(1000, 0)
-	c := &Control{opts: ControlOptions{State: NewState()}, started: now, followers: make(map[uint64]entryFollower)}
+	c := &Control{opts: ControlOptions{State: NewState(StateOptions{})}, started: now, followers: make(map[uint64]entryFollower)}
 	c.addFollowerStream(&daisyhatchv1.FollowRequest{Vm: "entry-1"})
 	f, m := &feed{control: c}, &daisyhatchv1.FollowResponse{}
 	f.fillEntries(m, now.Add(entriesStartupDelay-1))
