VMs tell one another of servers' limits, through the control VMs

Fault: a VM learned of a limit only from an answer to itself. One that had not heard yet sent freely until its first answer, which at 330 VMs is 330 requests; one without a share never got another answer, kept a limit that was over for a minute, and forgot one that went on after it; a restarted VM knew none.

Change: an entry VM reports what answers say to the control VMs that it follows (ReportLimits), at once when it is new and every 20 s while it goes on. They tell one another what was reported to them, and all of it to the VMs that follow them; a new follower is told all in its first message. A statement carries its age; the later one counts, and the end of a limit only if its request was sent half a second after the latest answer with the limit, since answers and reports overtake each other. Limits expire only on VMs that hear the others. What is told grows with the limits and not with VMs times servers: one message a VM for a new or ended limit, and one in 20 s.

--- a/gen/daisyhatch/v1/daisyhatchv1connect/fleet.connect.go
+++ b/gen/daisyhatch/v1/daisyhatchv1connect/fleet.connect.go
@@ -48,6 +48,9 @@
 	// FleetServiceReportCrashProcedure is the fully-qualified name of the FleetService's ReportCrash
 	// RPC.
 	FleetServiceReportCrashProcedure = "/daisyhatch.v1.FleetService/ReportCrash"
+	// FleetServiceReportLimitsProcedure is the fully-qualified name of the FleetService's ReportLimits
+	// RPC.
+	FleetServiceReportLimitsProcedure = "/daisyhatch.v1.FleetService/ReportLimits"
 	// FleetServiceClearSuspectsProcedure is the fully-qualified name of the FleetService's
 	// ClearSuspects RPC.
 	FleetServiceClearSuspectsProcedure = "/daisyhatch.v1.FleetService/ClearSuspects"
@@ -61,6 +64,8 @@
 	StageRun(context.Context, *connect.Request[v1.StageRunRequest]) (*connect.ServerStreamForClient[v1.StageRunResponse], error)
 	StageFree(context.Context, *connect.Request[v1.StageFreeRequest]) (*connect.Response[v1.StageFreeResponse], error)
 	ReportCrash(context.Context, *connect.Request[v1.ReportCrashRequest]) (*connect.Response[v1.ReportCrashResponse], error)
+	// ReportLimits passes limits of backend servers on; the receiver tells all other VMs.
+	ReportLimits(context.Context, *connect.Request[v1.ReportLimitsRequest]) (*connect.Response[v1.ReportLimitsResponse], error)
 	// ClearSuspects tells of suspects that were served.
 	ClearSuspects(context.Context, *connect.Request[v1.ClearSuspectsRequest]) (*connect.Response[v1.ClearSuspectsResponse], error)
 }
@@ -112,6 +117,12 @@
 			connect.WithSchema(fleetServiceMethods.ByName("ReportCrash")),
 			connect.WithClientOptions(opts...),
 		),
+		reportLimits: connect.NewClient[v1.ReportLimitsRequest, v1.ReportLimitsResponse](
+			httpClient,
+			baseURL+FleetServiceReportLimitsProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("ReportLimits")),
+			connect.WithClientOptions(opts...),
+		),
 		clearSuspects: connect.NewClient[v1.ClearSuspectsRequest, v1.ClearSuspectsResponse](
 			httpClient,
 			baseURL+FleetServiceClearSuspectsProcedure,
@@ -129,6 +140,7 @@
 	stageRun      *connect.Client[v1.StageRunRequest, v1.StageRunResponse]
 	stageFree     *connect.Client[v1.StageFreeRequest, v1.StageFreeResponse]
 	reportCrash   *connect.Client[v1.ReportCrashRequest, v1.ReportCrashResponse]
+	reportLimits  *connect.Client[v1.ReportLimitsRequest, v1.ReportLimitsResponse]
 	clearSuspects *connect.Client[v1.ClearSuspectsRequest, v1.ClearSuspectsResponse]
 }
 
@@ -162,6 +174,11 @@
 	return c.reportCrash.CallUnary(ctx, req)
 }
 
+// ReportLimits calls daisyhatch.v1.FleetService.ReportLimits.
+func (c *fleetServiceClient) ReportLimits(ctx context.Context, req *connect.Request[v1.ReportLimitsRequest]) (*connect.Response[v1.ReportLimitsResponse], error) {
+	return c.reportLimits.CallUnary(ctx, req)
+}
+
 // ClearSuspects calls daisyhatch.v1.FleetService.ClearSuspects.
 func (c *fleetServiceClient) ClearSuspects(ctx context.Context, req *connect.Request[v1.ClearSuspectsRequest]) (*connect.Response[v1.ClearSuspectsResponse], error) {
 	return c.clearSuspects.CallUnary(ctx, req)
@@ -175,6 +192,8 @@
 	StageRun(context.Context, *connect.Request[v1.StageRunRequest], *connect.ServerStream[v1.StageRunResponse]) error
 	StageFree(context.Context, *connect.Request[v1.StageFreeRequest]) (*connect.Response[v1.StageFreeResponse], error)
 	ReportCrash(context.Context, *connect.Request[v1.ReportCrashRequest]) (*connect.Response[v1.ReportCrashResponse], error)
+	// ReportLimits passes limits of backend servers on; the receiver tells all other VMs.
+	ReportLimits(context.Context, *connect.Request[v1.ReportLimitsRequest]) (*connect.Response[v1.ReportLimitsResponse], error)
 	// ClearSuspects tells of suspects that were served.
 	ClearSuspects(context.Context, *connect.Request[v1.ClearSuspectsRequest]) (*connect.Response[v1.ClearSuspectsResponse], error)
 }
@@ -222,6 +241,12 @@
 		connect.WithSchema(fleetServiceMethods.ByName("ReportCrash")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceReportLimitsHandler := connect.NewUnaryHandler(
+		FleetServiceReportLimitsProcedure,
+		svc.ReportLimits,
+		connect.WithSchema(fleetServiceMethods.ByName("ReportLimits")),
+		connect.WithHandlerOptions(opts...),
+	)
 	fleetServiceClearSuspectsHandler := connect.NewUnaryHandler(
 		FleetServiceClearSuspectsProcedure,
 		svc.ClearSuspects,
@@ -242,6 +267,8 @@
 			fleetServiceStageFreeHandler.ServeHTTP(w, r)
 		case FleetServiceReportCrashProcedure:
 			fleetServiceReportCrashHandler.ServeHTTP(w, r)
+		case FleetServiceReportLimitsProcedure:
+			fleetServiceReportLimitsHandler.ServeHTTP(w, r)
 		case FleetServiceClearSuspectsProcedure:
 			fleetServiceClearSuspectsHandler.ServeHTTP(w, r)
 		default:
@@ -277,6 +304,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("daisyhatch.v1.FleetService.ReportCrash is not implemented"))
 }
 
+func (UnimplementedFleetServiceHandler) ReportLimits(context.Context, *connect.Request[v1.ReportLimitsRequest]) (*connect.Response[v1.ReportLimitsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("daisyhatch.v1.FleetService.ReportLimits is not implemented"))
+}
+
 func (UnimplementedFleetServiceHandler) ClearSuspects(context.Context, *connect.Request[v1.ClearSuspectsRequest]) (*connect.Response[v1.ClearSuspectsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("daisyhatch.v1.FleetService.ClearSuspects is not implemented"))
 }
--- a/pkg/daemon/fleet.go
+++ b/pkg/daemon/fleet.go
@@ -49,7 +49,7 @@
 		process: p, path: p.settings.File, dialect: d, state: fleet.NewState(fleet.StateOptions{VM: p.settings.VM.Name, FormsStageCalls: p.settings.VM.Control()}),
 		roster: fleet.NewRoster(p.peerAddress(), p.seedPeers(p.settings.Fleet.Seeds)), pool: upstream.NewPool(nil),
 	}
-	metrics.GetOrCreateGauge("daisyhatch_server_limits", func() float64 { return float64(shared.state.LimitCount(time.Now())) })
+	metrics.GetOrCreateGauge("daisyhatch_server_limits", func() float64 { return float64(shared.state.LimitCount()) })
 	var out []kernel.Service
 	if p.settings.VM.Control() {
 		out = append(out, &fleetControl{fleetShared: shared})
--- a/pkg/fleet/feed.go
+++ b/pkg/fleet/feed.go
@@ -175,6 +175,8 @@
 	heardCount     uint64
 	refreshedAt    time.Time
 	relayedAt      time.Time
+	// limitsCount is the count of limit news up to which the follower was told.
+	limitsCount uint64
 	// addresses are the control VMs last sent, and rosterAt is when.
 	addresses []string
 	rosterAt  time.Time
@@ -185,6 +187,13 @@
 	entriesAt       time.Time
 }
 
+// fillLimits adds the limits of servers that the follower wasn't told yet. Control VMs tell one another only what entry VMs
+// reported to them, or what they learned from answers, but in the first message all.
+func (f *feed) fillLimits(m *daisyhatchv1.FollowResponse, now time.Time) {
+	limits, count := f.control.opts.State.limitsSince(f.limitsCount, f.peer && f.snapshotSent)
+	m.Limits, f.limitsCount = limitsToWire(limits, now), count
+}
+
 // fillRoster adds the control VMs if they changed, and every rosterRefreshInterval.
 func (f *feed) fillRoster(m *daisyhatchv1.FollowResponse, now time.Time) {
 	addresses := f.control.controlAddresses(now)
@@ -229,6 +238,7 @@
 	}
 	f.fillRoster(m, now)
 	f.fillEntries(m, now)
+	f.fillLimits(m, now)
 	if r.Version > f.configVersion {
 		m.Document = r.Document
 	}
--- a/pkg/fleet/follower.go
+++ b/pkg/fleet/follower.go
@@ -73,6 +73,8 @@
 	openedAt time.Time
 	// confirmedAt is when the control VM last said that the group confirms its state.
 	confirmedAt time.Time
+	// limitsReported is the count of limit news up to which the control VM was told this VM's own. Only reportLimits uses it.
+	limitsReported uint64
 	// serverIDs are the ids of the servers listed on the stream.
 	serverIDs map[string]bool
 }
@@ -86,6 +88,9 @@
 func (f *Follower) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	if f.opts.PeerAddress == "" {
+		wg.Go(func() { f.reportLimits(ctx) })
+	}
 	tick := time.NewTicker(rosterInterval)
 	defer tick.Stop()
 	for {
@@ -242,6 +247,7 @@
 	f.mu.Unlock()
 	if opened {
 		f.opts.Log.Info("control VM found", "control", address)
+		f.opts.State.limitNews.signal()
 	}
 }
 
@@ -271,6 +277,7 @@
 		state.touchEntries(address, now)
 	}
 	state.Merge(serversFromWire(m.GetServers(), now))
+	logLimits(f.opts.Log, state.mergeLimits(limitsFromWire(m.GetLimits(), now), false), address, now)
 	if f.opts.PeerAddress != "" {
 		// A control VM's replicated state comes from its own log.
 		return
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -47,7 +47,9 @@
 	// limits are the request rates to which servers limit all VMs together, and sends counts this VM's requests by server.
 	limits *serverlimit.Tracker
 	sends  *allowance.Window
-	owners map[string]stageowner.Owner
+	// limitNews is what other VMs are to be told of limits.
+	limitNews limitNews
+	owners    map[string]stageowner.Owner
 	// ownersSince is when this VM learned of each service's owner.
 	ownersSince map[string]time.Time
 	// ownersChanged is closed when an owner changes.
@@ -84,7 +86,7 @@
 	s := &State{
 		vm: EntryID(o.VM), formsStageCalls: o.FormsStageCalls, startedAt: time.Now(), ownersSince: make(map[string]time.Time),
 		domainsOut: make(map[string]time.Time), domainsReturned: make(map[string]time.Time), dir: directory.New(), changed: make(chan struct{}), holdoffs: holdoff.NewTracker(),
-		limits: serverlimit.NewTracker(), sends: allowance.NewWindow(serverlimit.MaxWindow),
+		limits: serverlimit.NewTracker(), sends: allowance.NewWindow(serverlimit.MaxWindow), limitNews: newLimitNews(),
 		entries: newEntryTable(), owners: make(map[string]stageowner.Owner), ownersChanged: make(chan struct{}),
 	}
 	for k := range s.stamps {
@@ -224,8 +226,7 @@
 		_, known := s.dir.Get(id)
 		return known
 	}, now)
-	s.limits.Expire(now)
-	s.sends.Expire(now)
+	s.expireLimits(now)
 	for _, v := range gone {
 		for _, m := range s.stamps {
 			delete(m, v.ID)
--- a/pkg/serverlimit/serverlimit.go
+++ b/pkg/serverlimit/serverlimit.go
@@ -21,8 +21,10 @@
 	// MaxWindow, since only its response can say that the limit has ended.
 	minRate = 1 / float64(MaxWindow/time.Second)
 	maxRate = 1e6
-	// retention is how long a limit applies after the latest response that named it.
+	// retention is how long a limit applies after the latest response that is known to name it.
 	retention = time.Minute
+	// ConfirmInterval is how often the other VMs are told of a limit that goes on: several times within retention.
+	ConfirmInterval = 20 * time.Second
 	// endMargin is how much later than the latest response with the limit a request must have been sent for its response
 	// to end the limit: responses overtake each other, and reports of other VMs arrive with a delay.
 	endMargin = 500 * time.Millisecond
@@ -160,7 +162,7 @@
 type Change int
 
 const (
-	// Ignored statements are older than what is known, or end a limit that is not known.
+	// Ignored statements are older than what is known, or end a limit that is not in force.
 	Ignored Change = iota
 	// Confirmed statements repeat what is known.
 	Confirmed
@@ -175,42 +177,46 @@
 	case ok && l.Born < known.Born, !ok && l.Ended:
 		return Ignored
 	case !ok || l.Born > known.Born:
-	case !l.At.After(known.At), l.Ended && l.At.Sub(known.At) < endMargin:
+	case l.Ended && known.Ended, !l.At.After(known.At), l.Ended && l.At.Sub(known.At) < endMargin:
 		return Ignored
 	}
 	t.limits[l.Server] = l
-	if ok && l.Born == known.Born && l.Ended == known.Ended && (l.Ended || l.Rate == known.Rate) {
+	if ok && l.Born == known.Born && !known.Ended && !l.Ended && l.Rate == known.Rate {
 		return Confirmed
 	}
 	return Changed
 }
 
 // InForce returns the limit that applies to an incarnation of a server; false when there is none.
-func (t *Tracker) InForce(server string, born int64, now time.Time) (Limit, bool) {
+func (t *Tracker) InForce(server string, born int64) (Limit, bool) {
 	l, ok := t.limits[server]
-	return l, ok && !l.Ended && l.Born == born && now.Sub(l.At) < retention
+	return l, ok && !l.Ended && l.Born == born
+}
+
+// Latest returns the latest statement about a server; false when there is none.
+func (t *Tracker) Latest(server string) (Limit, bool) {
+	l, ok := t.limits[server]
+	return l, ok
 }
 
 // Count returns the number of limits in force.
-func (t *Tracker) Count(now time.Time) int {
+func (t *Tracker) Count() int {
 	n := 0
 	for _, l := range t.limits {
-		if !l.Ended && now.Sub(l.At) < retention {
+		if !l.Ended {
 			n++
 		}
 	}
 	return n
 }
 
-// Expire drops limits that no response has confirmed for retention, and returns those that were in force.
+// Expire drops the statements that are older than retention, and returns them. A VM that hears nothing from the others must
+// not call it: the limits may have been confirmed meanwhile.
 func (t *Tracker) Expire(now time.Time) []Limit {
 	var out []Limit
 	for id, l := range t.limits {
-		if now.Sub(l.At) < retention {
-			continue
-		}
-		delete(t.limits, id)
-		if !l.Ended {
+		if now.Sub(l.At) >= retention {
+			delete(t.limits, id)
 			out = append(out, l)
 		}
 	}
