allowance: a VM that doesn't know how many share the extra retries takes none

After a restart of all at once that is seven times the extra part.

TestVMThatKnowsNoOthersHasNoExtraRetries failed before. Retries for the VM's own requests (ratio) stay.

--- a/pkg/allowance/allowance.go
+++ b/pkg/allowance/allowance.go
@@ -165,8 +165,11 @@
 func (r *RetryBudget) CountRequest(service string, now time.Time) { r.requests.Add(service, now) }
 
 // TakeRetry takes one retry out of this VM's share and reports whether one was left; entries is the number of VMs that
-// share extra.
+// share extra. A VM that doesn't know it, with entries 0, has no part of extra.
 func (r *RetryBudget) TakeRetry(service string, entries int, now time.Time) bool {
-	limit := r.ratio*float64(r.requests.Count(service, now)) + r.extra/float64(max(entries, 1))
+	limit := r.ratio * float64(r.requests.Count(service, now))
+	if entries > 0 {
+		limit += r.extra / float64(entries)
+	}
 	return r.retries.Take(service, int(limit*utilisation), now)
 }
--- a/pkg/allowance/allowance_test.go
+++ b/pkg/allowance/allowance_test.go
@@ -69,3 +69,16 @@
 	}
 	require.Positive(t, retries.Count("s", now))
 }
+
+// A VM that doesn't know how many VMs share the extra retries took all of them for itself, as each of the others did.
+func TestVMThatKnowsNoOthersHasNoExtraRetries(t *testing.T) {
+	now := time.Now()
+	b := NewRetryBudget(0.2, 54, 10*time.Second)
+	require.False(t, b.TakeRetry("s", 0, now))
+	for range 10 {
+		b.CountRequest("s", now)
+	}
+	require.True(t, b.TakeRetry("s", 0, now), "its own requests' part needs no share")
+	require.False(t, b.TakeRetry("s", 0, now))
+	require.True(t, b.TakeRetry("s", 7, now))
+}
