fleet: a VM that hears no control VM keeps its list of entry VMs

A source of the list now expires in comparison with the source that was heard last, not with the clock.

TestCutOffVMKeepsCountOfEntryVMs failed before: an empty list after 60 s.

--- a/pkg/fleet/entries.go
+++ b/pkg/fleet/entries.go
@@ -58,19 +58,26 @@
 	}
 }
 
-// all returns the ids that any source reported within entrySourceTTL, sorted. The caller must not change the list.
+// all returns the ids that any source reported, sorted. A source counts for entrySourceTTL longer than the one heard last,
+// so that a VM that hears none any more keeps the list. The caller must not change the list.
 func (t *entryTable) all(now time.Time) []uint64 {
 	if t.listed == t.changes && now.Before(t.expires) {
 		return t.list
 	}
 	union := make(map[uint64]bool)
+	newest := time.Time{}
+	for _, s := range t.sources {
+		if s.updatedAt.After(newest) {
+			newest = s.updatedAt
+		}
+	}
 	t.expires = now.Add(entrySourceTTL)
 	for control, s := range t.sources {
-		if now.Sub(s.updatedAt) > entrySourceTTL {
+		if newest.Sub(s.updatedAt) > entrySourceTTL {
 			delete(t.sources, control)
 			continue
 		}
-		if end := s.updatedAt.Add(entrySourceTTL); end.Before(t.expires) {
+		if end := s.updatedAt.Add(entrySourceTTL); end.After(now) && end.Before(t.expires) {
 			t.expires = end
 		}
 		for id := range s.ids {
