--- a/pkg/fleet/entries.go
+++ b/pkg/fleet/entries.go
@@ -7,8 +7,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// entrySourceTTL is how long the entry VMs reported by a control VM count after its last message: longer than a
-// restart or a network partition takes, since they may go on sending requests meanwhile.
+// entrySourceTTL is how long the entry VMs reported by a control VM count after its last message while other control VMs are
+// heard: longer than a restart or a network partition takes, since they may go on sending requests meanwhile.
 const entrySourceTTL = 60 * time.Second
 
 // EntryID returns an entry VM's id, used to share limits among entry VMs: a hash of its name. Every VM receives the
--- a/pkg/fleet/limitreports_test.go
+++ b/pkg/fleet/limitreports_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	daisyhatchv1 "github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1"
 	"github.com/daisyhatch/daisyhatch/pkg/serverlimit"
@@ -115,3 +117,33 @@
 	f.noteMessage(address, f.streams[address], true)
 	require.Eventually(t, func() bool { return control.opts.State.LimitCount() == 1 }, 5*time.Second, 10*time.Millisecond)
 }
+
+// At 2,800 servers of which a tenth have limits that go on, what one VM is told of them must stay far below the 14 KB/s that a VM
+// may spend on control.
+func TestNewsOfServerLimitsStaysSmall(t *testing.T) {
+	for _, n := range []int{28, 280, 2800} {
+		now := time.Now()
+		control := NewState(StateOptions{})
+		f := &feed{control: NewControl(ControlOptions{State: control}, nil)}
+		bytes, first := 0, 0
+		for second := range 61 {
+			at := now.Add(time.Duration(second) * time.Second)
+			var list []serverlimit.Limit
+			for i := range n {
+				list = append(list, serverlimit.Limit{Server: fmt.Sprintf("i-%010x", i), Born: now.UnixMilli(), Rate: 2.5, At: at})
+			}
+			control.mergeLimits(list, true)
+			m := &daisyhatchv1.FollowResponse{}
+			f.fillLimits(m, at)
+			if second == 0 {
+				first = proto.Size(m)
+				continue
+			}
+			bytes += proto.Size(m)
+		}
+		t.Logf("%d limits: %d bytes in the first message, then %d bytes a second", n, first, bytes/60)
+		if n == 280 {
+			require.Less(t, bytes/60, 14000/10)
+		}
+	}
+}
