admission: without a grantor each VM takes its part of an organisation's limits by the count of VMs

The grantor tells with each draw how many VMs draw from it, and a VM that loses it takes that part. A VM that never reached one goes on with an eighth, since it knows no count: the only case left in which the parts may add up to more.

--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -410,3 +410,17 @@
 	now = now.Add(time.Second)
 	require.EqualValues(t, 1, drawOne(a, "x", k, &daisyhatchv1.QuotaDemand{Tokens: 1}, now).Tokens)
 }
+
+// While an organisation has no grantor, each VM applied an eighth of the limits: 40 VMs admitted five times the rate.
+func TestOutageSharesOfManyVMsAddUpToTheLimits(t *testing.T) {
+	const vms, rate = 40, 80
+	f := newCluster(t, vms, Limits{Rate: rate, Concurrency: vms})
+	f.run(5*time.Second, 2*rate, 20*time.Millisecond, f.randomEntry)
+	f.lossRate = 1
+	f.run(outageThreshold+time.Second, 2*rate, 20*time.Millisecond, f.randomEntry)
+	f.admitted, f.maxInFlight = 0, 0
+	f.run(10*time.Second, 20*rate, 20*time.Millisecond, f.randomEntry)
+	require.LessOrEqual(t, f.admitted, 10*rate+vms, "the rate, and one request that each VM has in hand")
+	require.Greater(t, f.admitted, 5*rate)
+	require.LessOrEqual(t, f.maxInFlight, vms)
+}
--- a/pkg/admission/allotter.go
+++ b/pkg/admission/allotter.go
@@ -81,7 +81,7 @@
 		return nil
 	}
 	a.lastDraws[key] = lastDraw{r.Sequence, now}
-	out := &daisyhatchv1.DrawResponse{Sequence: r.Sequence}
+	out := &daisyhatchv1.DrawResponse{Sequence: r.Sequence, Drawers: uint32(len(a.lastDraws))}
 	for _, d := range r.Demands {
 		if k := authorityOf(d.Organisation); k.Fence != 0 {
 			out.Quotas = append(out.Quotas, a.draw(key, d, k, now))
--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -11,10 +11,11 @@
 
 // Parameters of the controller.
 const (
-	// outageThreshold is the time without a response from the grantor after which a VM admits by fallbackShare.
+	// outageThreshold is the time without a response from the grantor after which a VM admits by its part of the limits.
 	outageThreshold = 2 * time.Second
-	// fallbackShare is the fraction of a limit that each VM applies on its own while the organisation has no grantor.
-	fallbackShare = 0.125
+	// minDrawers is the least number of VMs among which a limit is divided while the organisation has no grantor: a VM that
+	// never reached one doesn't know how many there are.
+	minDrawers = 8
 	// arrivalSmoothing is the weight of the last interval in the moving average of arrivals.
 	arrivalSmoothing = 0.5
 	// prefetchShare is the fraction of the expected arrivals by which a draw exceeds them.
@@ -53,7 +54,9 @@
 
 // quota is this VM's part of one organisation's limits, and its recent demand.
 type quota struct {
-	limits        Limits
+	limits Limits
+	// drawers is the number of VMs that drew from the grantor, by its last response.
+	drawers       int
 	tokens        float64
 	units         int
 	unitsExpireAt time.Time
@@ -125,16 +128,17 @@
 	return Admit, 0
 }
 
-// applyFallback grants fallbackShare of the limits locally while draws get no response.
+// applyFallback grants this VM's part of the limits locally while draws get no response.
 func (q *quota) applyFallback(now time.Time) {
 	if now.Sub(q.lastHealthy) < outageThreshold {
 		q.refilledAt = now
 		return
 	}
-	part := fallbackShare * q.limits.Rate
+	drawers := max(q.drawers, minDrawers)
+	part := q.limits.Rate / float64(drawers)
 	q.tokens = min(max(1, part), q.tokens+part*now.Sub(q.refilledAt).Seconds())
 	q.refilledAt = now
-	q.units = max(1, int(fallbackShare*float64(q.limits.Concurrency)))
+	q.units = max(1, q.limits.Concurrency/drawers)
 	q.unitsExpireAt = now.Add(drawInterval)
 }
 
@@ -237,7 +241,7 @@
 		if q == nil {
 			continue
 		}
-		q.lastHealthy, q.lastServed = now, now
+		q.lastHealthy, q.lastServed, q.drawers = now, now, int(r.Drawers)
 		q.tokens += float64(m.Tokens)
 		q.units = int(m.Units)
 		q.unitsExpireAt = a.at.Add(time.Duration(m.TtlMs) * time.Millisecond)
