fleet: an entry VM follows a third control VM while neither of its two is confirmed

Cause: only after 4 s without a confirmation did it try another control VM.

Change: it keeps both and opens a third one after 1 s, until one is confirmed. Streams are looked at every 400 ms instead of every second; silent servers are still dropped every second. A stream counts as confirmed for 1 s instead of 2 s, so that the confirmed one of the three is kept.

--- a/pkg/fleet/follower.go
+++ b/pkg/fleet/follower.go
@@ -23,8 +23,10 @@
 	streamIdleTimeout = 3 * followHeartbeat
 	// streamRetryDelay is the pause before a stream is opened again.
 	streamRetryDelay = 100 * time.Millisecond
-	// rosterInterval is how often the addresses to follow are checked.
-	rosterInterval = time.Second
+	// streamCheckInterval is how often the addresses to follow are checked, expiryInterval how often silent servers are
+	// dropped.
+	streamCheckInterval = 400 * time.Millisecond
+	expiryInterval      = time.Second
 	// steadyStreamAge is how long a stream must have been open before a server that is not reported on it counts as
 	// silent.
 	steadyStreamAge = 2 * refreshInterval
@@ -91,17 +93,19 @@
 	if f.opts.PeerAddress == "" {
 		wg.Go(func() { f.reportLimits(ctx) })
 	}
-	tick := time.NewTicker(rosterInterval)
+	tick, expiry := time.NewTicker(streamCheckInterval), time.NewTicker(expiryInterval)
 	defer tick.Stop()
+	defer expiry.Stop()
 	for {
 		f.updateStreams(ctx, &wg)
-		f.expire()
 		select {
 		case <-ctx.Done():
 			return
 		case <-f.opts.Roster.wake:
 		case <-f.wake:
 		case <-tick.C:
+		case <-expiry.C:
+			f.expire()
 		}
 	}
 }
@@ -134,7 +138,10 @@
 	if f.opts.PeerAddress != "" {
 		return addresses
 	}
-	list := make([]streamState, 0, len(addresses))
+	list, n := make([]streamState, 0, len(addresses)), streamsPerEntryVM
+	if f.searching(now) {
+		n++
+	}
 	for _, a := range addresses {
 		s := streamState{address: a, backoff: max(0, f.avoidUntil[a].Sub(now))}
 		if stream := f.streams[a]; stream != nil {
@@ -148,7 +155,23 @@
 		}
 		list = append(list, s)
 	}
-	return chooseStreams(f.opts.VM, list)
+	return chooseStreams(f.opts.VM, list, n)
+}
+
+// searching reports whether a stream has been open for confirmedFor, and the group has confirmed the state of no followed
+// control VM for that time. f.mu must be held.
+func (f *Follower) searching(now time.Time) bool {
+	steady := false
+	for _, s := range f.streams {
+		if s.openedAt.IsZero() {
+			continue
+		}
+		if now.Sub(s.confirmedAt) < confirmedFor {
+			return false
+		}
+		steady = steady || now.Sub(s.openedAt) >= confirmedFor
+	}
+	return steady
 }
 
 // expire drops servers that fell silent, if a stream has been open long enough to have reported them.
--- a/pkg/fleet/streams.go
+++ b/pkg/fleet/streams.go
@@ -14,9 +14,11 @@
 	// streamsPerEntryVM is how many control VMs an entry VM follows: one stream goes on while another is replaced.
 	// What a control VM learns reaches the others within milliseconds.
 	streamsPerEntryVM = 2
-	// confirmedFor is how long a control VM's statement that the group confirms its state is valid: longer than an
-	// election takes.
-	confirmedFor = 2 * time.Second
+	// confirmedFor is how long a control VM's statement that the group confirms its state is valid: two heartbeats and a
+	// margin. When it has run out for all streams of an entry VM, that VM follows one more control VM: those that it follows
+	// may be cut off from a majority that goes on. An election is over sooner, since control VMs repeat the statement for
+	// confirmationTTL.
+	confirmedFor = time.Second
 	// unconfirmedTimeout is how long a stream may go without such a statement before another control VM is tried in
 	// its place.
 	unconfirmedTimeout = 4 * time.Second
@@ -37,11 +39,11 @@
 	backoff time.Duration
 }
 
-// chooseStreams returns the streamsPerEntryVM control VMs that an entry VM follows: first those that are confirmed,
+// chooseStreams returns the n control VMs that an entry VM follows: first those that are confirmed,
 // then those whose stream is open and not failing, then others. Within these, the order differs by VM, so that the
 // streams spread over the control VMs. When all have failed, the one that failed first is tried next, so that two
 // that stay down don't keep a VM from those that are back.
-func chooseStreams(vm string, all []streamState) []string {
+func chooseStreams(vm string, all []streamState, n int) []string {
 	rank := func(s streamState) uint64 { return xxhash.Sum64String(vm + "\x00" + s.address) }
 	priority := func(s streamState) int {
 		switch {
@@ -59,8 +61,8 @@
 			cmp.Compare(priority(a), priority(b)), cmp.Compare(a.backoff, b.backoff), cmp.Compare(rank(a), rank(b)), cmp.Compare(a.address, b.address),
 		)
 	})
-	out := make([]string, 0, streamsPerEntryVM)
-	for _, s := range all[:min(streamsPerEntryVM, len(all))] {
+	out := make([]string, 0, n)
+	for _, s := range all[:min(n, len(all))] {
 		out = append(out, s.address)
 	}
 	return out
--- a/pkg/fleet/streams_test.go
+++ b/pkg/fleet/streams_test.go
@@ -24,7 +24,7 @@
 func TestStreamsSpreadOverControlVMs(t *testing.T) {
 	count := map[string]int{}
 	for vm := range 295 {
-		for _, a := range chooseStreams(fmt.Sprint("entry-", vm), controlStates(5)) {
+		for _, a := range chooseStreams(fmt.Sprint("entry-", vm), controlStates(5), streamsPerEntryVM) {
 			count[a]++
 		}
 	}
@@ -58,7 +58,7 @@
 				usable++
 			}
 		}
-		got := chooseStreams("vm", list)
+		got := chooseStreams("vm", list, streamsPerEntryVM)
 		if len(got) != streamsPerEntryVM {
 			t.Fatalf("wrong number of control VMs chosen: %v", got)
 		}
@@ -85,14 +85,14 @@
 		name, all := fmt.Sprint("entry-", vm), controlStates(5)
 		avoidUntil := make(map[string]time.Time)
 		now := time.Unix(1000, 0)
-		down := chooseStreams(name, slices.Clone(all))
+		down := chooseStreams(name, slices.Clone(all), streamsPerEntryVM)
 		for tries := 0; ; tries++ {
 			require.Less(t, tries, 6, "%s finds no running control VM", name)
 			list := controlStates(5)
 			for i := range list {
 				list[i].backoff = max(0, avoidUntil[list[i].address].Sub(now))
 			}
-			chosen := chooseStreams(name, list)
+			chosen := chooseStreams(name, list, streamsPerEntryVM)
 			if tries >= 3 && !slices.Contains(down, chosen[0]) {
 				break
 			}
@@ -183,3 +183,37 @@
 			"entry-%d still follows only %v", vm, followed)
 	}
 }
+
+// An entry VM that looks for a control VM with a majority keeps the further stream until one is confirmed, and follows two again
+// then. It opens none at its start, when no control VM is confirmed yet, nor in an election.
+func TestFurtherStreamIsKeptUntilOneIsConfirmed(t *testing.T) {
+	start := time.Unix(1000, 0)
+	f := NewFollower(FollowerOptions{VM: "entry"})
+	var addresses []string
+	for _, s := range controlStates(5) {
+		addresses = append(addresses, s.address)
+	}
+	followed := f.selectAddresses(addresses, start)
+	for _, a := range followed {
+		f.streams[a] = &followStream{startedAt: start, openedAt: start}
+	}
+	require.Len(t, f.selectAddresses(addresses, start.Add(confirmedFor-1)), 2, "at the start")
+	for _, a := range followed {
+		f.streams[a].confirmedAt = start
+	}
+	require.Len(t, f.selectAddresses(addresses, start.Add(confirmedFor-1)), 2, "in an election")
+	now := start.Add(confirmedFor)
+	three := f.selectAddresses(addresses, now)
+	require.Len(t, three, 3)
+	require.Subset(t, three, followed)
+	for _, a := range three {
+		if f.streams[a] == nil {
+			f.streams[a] = &followStream{startedAt: now, openedAt: now}
+		}
+	}
+	require.ElementsMatch(t, three, f.selectAddresses(addresses, now.Add(100*time.Millisecond)))
+	f.streams[three[2]].confirmedAt = now.Add(200 * time.Millisecond)
+	two := f.selectAddresses(addresses, now.Add(300*time.Millisecond))
+	require.Len(t, two, 2)
+	require.Contains(t, two, three[2])
+}
