--- a/pkg/relay/limits.go
+++ b/pkg/relay/limits.go
@@ -2,9 +2,12 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/daisyhatch/daisyhatch/pkg/fleet"
 )
 
 var limitRefusals = metrics.NewCounter("daisyhatch_limit_refusals_total")
@@ -12,47 +15,41 @@
 // reasonLimits is why a request is refused when all servers are at their limits.
 const reasonLimits = "the servers of the service are at the limits that they named"
 
-// limitsLeaveNoRoom reports whether the service has servers, and the limits of all of them leave this VM no room now.
-func (x *exchange) limitsLeaveNoRoom(now time.Time) bool {
-	candidates := x.relay.opts.View.Serving(x.service.Name, now)
-	for _, c := range candidates {
-		if c.Limit.HasRoom(now) {
-			return false
-		}
-	}
-	return len(candidates) > 0
+// noRoomNow reports whether there are servers, and the limits of all of them leave this VM no room now.
+func noRoomNow(servers []fleet.Candidate, now time.Time) bool {
+	return len(servers) > 0 && !slices.ContainsFunc(servers, func(c fleet.Candidate) bool { return c.Limit.HasRoom(now) })
 }
 
-// roomForRequests returns how many requests this VM may send to the servers of the service until the time by. limited is
-// false when there is a server without a limit, or none at all.
-func (x *exchange) roomForRequests(now, by time.Time) (room int, limited bool) {
-	candidates := x.relay.opts.View.Serving(x.service.Name, now)
-	for _, c := range candidates {
+// stagesInVain reports whether a request would find no room at a server after its stages, which take stageTime, when inStages
+// requests whose stages run already go before it. Under a load beyond the limits of all servers, the stages' work would be
+// thrown away.
+func stagesInVain(servers []fleet.Candidate, inStages int, stageTime time.Duration, now time.Time) bool {
+	room := 0
+	for _, c := range servers {
 		if c.Limit == nil {
-			return 0, false
+			return false
 		}
-		room += c.Limit.RoomBy(by)
+		room += c.Limit.RoomBy(now.Add(stageTime))
 	}
-	return room, len(candidates) > 0
+	return len(servers) > 0 && inStages >= room
 }
 
-// startStages counts the request among those whose stages run. It refuses the request, and returns false, when the
-// servers' limits would leave no room for it after its stages: their work would be thrown away.
+// startStages counts the request among those whose stages run, or refuses it and returns false.
 func (x *exchange) startStages() bool {
 	now := time.Now()
-	room, limited := x.roomForRequests(now, now.Add(x.minStageTime()))
+	servers := x.relay.opts.View.Serving(x.service.Name, now)
 	r := x.relay
 	r.mu.Lock()
-	full := limited && r.inStages[x.service.Name] >= room
-	if !full {
+	inVain := stagesInVain(servers, r.inStages[x.service.Name], x.minStageTime(), now)
+	if !inVain {
 		r.inStages[x.service.Name]++
 	}
 	r.mu.Unlock()
-	if full {
+	if inVain {
 		limitRefusals.Inc()
 		x.refuse(http.StatusServiceUnavailable, x.retryAfterNoServer(), reasonLimits)
 	}
-	return !full
+	return !inVain
 }
 
 // endStages ends what startStages counted.
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -103,12 +103,15 @@
 }
 
 func (x *exchange) giveUpNoServer() {
-	reason := "no server of the service takes work now"
-	if x.limitsLeaveNoRoom(time.Now()) {
-		reason = reasonLimits
+	now := time.Now()
+	if !noRoomNow(x.relay.opts.View.Serving(x.service.Name, now), now) {
+		x.giveUp(x.retryAfterNoServer(), "no server of the service takes work now")
+		return
+	}
+	x.giveUp(x.retryAfterNoServer(), reasonLimits)
+	if x.outcome == "refused" {
 		limitRefusals.Inc()
 	}
-	x.giveUp(x.retryAfterNoServer(), reason)
 }
 
 // retryAfterNoServer returns the Retry-After time for a request that found no server: the time until the first server
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -118,7 +118,8 @@
 	} else {
 		x.possibleRuns++
 	}
-	notServerFault := errors.Is(res.err, errServerLeaving) || errors.Is(res.err, limiter.ErrExceeded) || errors.Is(res.err, errRequestSuspect) || x.req.Context().Err() != nil
+	notServerFault := errors.Is(res.err, errServerLeaving) || errors.Is(res.err, limiter.ErrExceeded) ||
+		errors.Is(res.err, errRequestSuspect) || x.req.Context().Err() != nil
 	if res.status == sendOutcomeUnknown && !notServerFault {
 		x.logUnanswered(c, res)
 	}
