lease: a renewal never acquires a lease

In a system, servers of a shard without work for that time when a control VM comes back after a planned stop.

Cause, from a trace of leases and gaps in two failing runs: eleven seconds after its return c1 asks c2 for the shards that it precedes. c2 hands over their state and releases the leases; one renewal, proposed by c2 just before, is applied just after the release. It found the lease free and acquired it: fence 2 and then 3 for c2, where c1 should have got 3. The state of the shard had been handed over, so that c2 waited for the quiet period and for announcements. Ruled out: lost hand-overs and takeovers by rank (the lease went straight from c2 to c2), and load (seen idle of other work in virtual time).

Change: a renewal names the fence of the lease that it renews, and does nothing to any other. Commands of older processes, without a fence, are applied as before.

TestLateRenewalDoesNotAcquireReleasedLease failed before.

--- a/pkg/grantservice/leases.go
+++ b/pkg/grantservice/leases.go
@@ -145,7 +145,12 @@
 
 // command returns the command that acquires, renews or releases a shard's lease.
 func (l *leaseTracker) command(index uint32, release bool) *daisyhatchv1.LeaseCommand {
+	fence := uint64(0)
+	if l.heldHere(index) && !release {
+		fence = l.shards[index].lease.GetFence()
+	}
 	return &daisyhatchv1.LeaseCommand{
+		RenewFence:      fence,
 		Name:            grant.LeaseName(index),
 		Holder:          l.vm,
 		Incarnation:     l.incarnation,
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -43,7 +43,8 @@
 }
 
 // Apply acquires, renews or releases a lease and returns its state afterwards. A lease held by another process is taken
-// over only if the command names its present renewal number. Apply returns ErrCommand for a malformed command or a new
+// over only if the command names its present renewal number. A command that names a fence renews the lease under that
+// fence or does nothing. Apply returns ErrCommand for a malformed command or a new
 // name beyond MaxLeases.
 func (t *Table) Apply(c *daisyhatchv1.LeaseCommand) (*daisyhatchv1.LeaseResult, error) {
 	if err := validate(c); err != nil {
@@ -60,7 +61,7 @@
 	switch {
 	case c.GetRelease() && holds(l, c):
 		t.release(l)
-	case c.GetRelease():
+	case c.GetRelease(), c.GetRenewFence() != 0 && !renews(l, c):
 	case holds(l, c):
 		l.Renewal++
 		l.TtlMs = max(l.GetTtlMs(), c.GetTtlMs())
@@ -94,9 +95,14 @@
 	return l.GetHolder() == c.GetHolder() && l.GetIncarnation() == c.GetIncarnation()
 }
 
+// renews reports whether the command renews the lease that its sender holds now.
+func renews(l *daisyhatchv1.Lease, c *daisyhatchv1.LeaseCommand) bool {
+	return holds(l, c) && l.GetFence() == c.GetRenewFence()
+}
+
 func result(l *daisyhatchv1.Lease, c *daisyhatchv1.LeaseCommand) *daisyhatchv1.LeaseResult {
 	return &daisyhatchv1.LeaseResult{
-		Held:        holds(l, c),
+		Held:        holds(l, c) && (c.GetRenewFence() == 0 || renews(l, c)),
 		Holder:      l.GetHolder(),
 		Incarnation: l.GetIncarnation(),
 		Fence:       l.GetFence(),
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -140,3 +140,30 @@
 		require.ErrorIs(t, err, ErrCommand)
 	}
 }
+
+// A renewal that is applied after the lease was released must not acquire it again: the holder has handed over what the lease
+// protects, and would keep the successor out without it.
+func TestLateRenewalDoesNotAcquireReleasedLease(t *testing.T) {
+	table := New()
+	acquire := &daisyhatchv1.LeaseCommand{Name: "l", Holder: "c2", Incarnation: "1", TtlMs: 1500}
+	held, err := table.Apply(acquire)
+	require.NoError(t, err)
+	renewal := &daisyhatchv1.LeaseCommand{Name: "l", Holder: "c2", Incarnation: "1", TtlMs: 1500, RenewFence: held.Fence}
+	renewed, err := table.Apply(renewal)
+	require.NoError(t, err)
+	require.True(t, renewed.Held)
+	require.Equal(t, held.Fence, renewed.Fence)
+	_, err = table.Apply(&daisyhatchv1.LeaseCommand{Name: "l", Holder: "c2", Incarnation: "1", Release: true})
+	require.NoError(t, err)
+	late, err := table.Apply(renewal)
+	require.NoError(t, err)
+	require.False(t, late.Held)
+	require.Empty(t, table.Get("l").GetHolder())
+	again, err := table.Apply(acquire)
+	require.NoError(t, err)
+	require.Greater(t, again.Fence, held.Fence)
+	late, err = table.Apply(renewal)
+	require.NoError(t, err)
+	require.False(t, late.Held, "it is not a renewal of the lease that the process holds now")
+	require.Equal(t, again.Renewal, late.Renewal)
+}
