relay: a VM that stops refuses what it has not sent before it closes connections

A request that came 1.4 s after the SIGTERM of its entry VM, and one that came just before another's, lost their connections 7 s after the signal without an answer.

Cause, from the log lines of both ids: their stages still ran when the stop limit passed, they had been sent to no server, and Shutdown closed all that was left. Ruled out: the control VMs (stage calls went on), and servers that were still at work (none had got the requests).

Change: half a second before the limit the relay ends the stages of such requests and refuses them and all that come later with 503 and a time to come back: they have not run, and another VM can take them. What a server already runs goes on until the limit.

--- a/pkg/daemon/fleet.go
+++ b/pkg/daemon/fleet.go
@@ -451,6 +451,10 @@
 	return f.callers.Start(ctx)
 }
 
+// refuseBeforeStop is how long before requests in flight are cut off those are refused that were sent to no server: longer
+// than it takes to write thousands of refusals.
+const refuseBeforeStop = 500 * time.Millisecond
+
 // Stop implements kernel.Service: the balancer's delay passes with the readiness off before connections are closed.
 func (f *fleetEntry) Stop(ctx context.Context) error {
 	f.mu.Lock()
@@ -461,6 +465,10 @@
 	case <-time.After(f.settings.Shutdown.BalancerDelay):
 	case <-ctx.Done():
 	}
+	if end, ok := ctx.Deadline(); ok {
+		refuse := time.AfterFunc(time.Until(end)-refuseBeforeStop, f.relay.RefuseUnsent)
+		defer refuse.Stop()
+	}
 	err := f.callers.Stop(ctx)
 	f.cancel()
 	<-f.done
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -101,7 +101,10 @@
 	answeredLog *logsink.Budget
 	limiter     *limiter.Limiter
 	stopping    atomic.Bool
-	liveness    *liveness.Checker
+	// sends ends when requests are not sent to servers any more; endSends ends it.
+	sends    context.Context //nolint:containedctx // the life of the relay's sends, not of one call
+	endSends context.CancelCauseFunc
+	liveness *liveness.Checker
 
 	mu         sync.Mutex
 	health     *health
@@ -116,8 +119,9 @@
 
 // New returns a Relay. Run must be called for its periodic cleanup.
 func New(o Options) *Relay {
+	sends, endSends := context.WithCancelCause(context.Background())
 	return &Relay{
-		opts: o, cold: allowance.NewWindow(time.Second), answeredLog: logsink.NewBudget(logsink.AnsweredPerSecond),
+		opts: o, sends: sends, endSends: endSends, cold: allowance.NewWindow(time.Second), answeredLog: logsink.NewBudget(logsink.AnsweredPerSecond),
 		limiter: limiter.New(o.View, o.Log), health: newHealth(), placements: placement.NewPlacer(),
 		plainInFlight: make(map[string]int), inStages: make(map[string]int), maxTimeout: make(map[string]time.Duration),
 		liveness: liveness.New(o.Pool, func(id string) (directory.Server, bool) { return o.View.Server(id) }),
@@ -164,9 +168,6 @@
 	}
 }
 
-// Drain makes the relay close callers' connections after each answer, so that they move to another VM.
-func (r *Relay) Drain() { r.stopping.Store(true) }
-
 // ServeHTTP implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	begin := time.Now()
@@ -248,6 +249,9 @@
 
 // accept checks the request. If the request can't be served, it answers it and returns false.
 func (x *exchange) accept() bool {
+	if x.refusedByStop() {
+		return false
+	}
 	k := x.relay.opts.View
 	x.catalog = k.Catalog()
 	if x.catalog == nil || !k.Current() {
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -30,7 +30,7 @@
 		if x.inputs.isReleased() && !x.runStages() {
 			return
 		}
-		if x.refusedAsSuspect() {
+		if x.refusedAsSuspect() || x.refusedByStop() {
 			break
 		}
 		server, ok := x.chooseServer()
--- a/pkg/relay/stages.go
+++ b/pkg/relay/stages.go
@@ -139,7 +139,7 @@
 // error it frees all results.
 func (x *exchange) runStagesOnce() error {
 	stages := x.route.Stages
-	ctx, cancel := context.WithCancel(x.ctx)
+	ctx, cancel := x.relay.untilSendsEnd(x.ctx)
 	defer cancel()
 	// Buffered so that stages never block: each one sends at most two events.
 	events := make(chan stageEvent, 2*len(stages))
@@ -381,6 +381,9 @@
 	if x.callerLeft() {
 		return
 	}
+	if x.refusedByStop() {
+		return
+	}
 	if x.headSent {
 		x.abortAnswer("the stages could not be run again: " + err.Error())
 		return
