--- a/pkg/dialect/dialect.go
+++ b/pkg/dialect/dialect.go
@@ -94,6 +94,14 @@
 	Parts []Part
 }
 
+// SharedParts returns the parts that other prompts may have too: all but the last. It may be called on nil.
+func (p *Prompt) SharedParts() []Part {
+	if p == nil || len(p.Parts) == 0 {
+		return nil
+	}
+	return p.Parts[:len(p.Parts)-1]
+}
+
 // Part is a section of a prompt that other prompts may share. Prompts share it when the ids are equal.
 type Part struct {
 	ID     uint64
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -229,6 +229,9 @@
 	possibleRuns int
 	// inFlight is true between recordStart and recordEnd.
 	inFlight bool
+	// begun is true once the server of the current or latest send has begun its answer: a stream's first event, or
+	// another answer as a whole, has arrived.
+	begun bool
 	// serverRun is the current or latest run of the request on a server.
 	serverRun *quarantine.Run
 	// lastEventID is the id of the last event delivered.
@@ -405,7 +408,7 @@
 	fields := []any{
 		"id", x.call.ID, "route", route, "service", service, "organisation", x.organisation, "outcome", x.outcome,
 		"status", x.status, "reason", x.reason, "late", late, "took_ms", took.Milliseconds(), "waited_ms", x.waited.Milliseconds(),
-		"staged_ms", x.stagesTook.Milliseconds(), "chains", x.stageRuns, "failed_stage", x.failedStage, "first_ms", x.firstByte.Milliseconds(), "servers", x.tried,
+		"staged_ms", x.stagesTook.Milliseconds(), "chains", x.stageRuns, "failed_stage", x.failedStage, "first_ms", x.firstByte.Milliseconds(), "servers", x.tried, "parts", formatParts(x.call.Prompt),
 		"version", version, "state", k.Number(), "state_age_ms", k.ContactAge(time.Now()).Milliseconds(),
 	}
 	if suppressed > 0 {
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -193,7 +193,7 @@
 	r := x.relay
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	x.inFlight = true
+	x.inFlight, x.begun = true, false
 	x.serverRun = r.opts.Suspects.Begin(liveness.Target(c.Server), x.fingerprint)
 	if x.service.Engine != nil {
 		x.placed = r.placements.Add(x.call.Prompt, c.ID, now)
@@ -206,6 +206,7 @@
 	r := x.relay
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	x.begun = true
 	r.health.recordAnswer(x.service.Name, c.ID, first, time.Now())
 	if x.placed != nil {
 		r.placements.PrefillDone(x.placed)
