suspect: a part of prompts that explains the ends of servers is refused, whatever else its requests hold

Cause: what is remembered of an ended server is keyed by the whole request (organisation, host, path, body), while the cause is one part of the prompt that unlike requests share. Class of fault: a memory of causes keyed by all that was seen.

Change: the control VMs keep, for the last 64 ended servers, the requests whose answers had not begun and the shared parts of their prompts. An answer anywhere takes all earlier ends off a part.

--- a/gen/daisyhatch/v1/daisyhatchv1connect/fleet.connect.go
+++ b/gen/daisyhatch/v1/daisyhatchv1connect/fleet.connect.go
@@ -54,6 +54,8 @@
 	// FleetServiceClearSuspectsProcedure is the fully-qualified name of the FleetService's
 	// ClearSuspects RPC.
 	FleetServiceClearSuspectsProcedure = "/daisyhatch.v1.FleetService/ClearSuspects"
+	// FleetServiceTryPartProcedure is the fully-qualified name of the FleetService's TryPart RPC.
+	FleetServiceTryPartProcedure = "/daisyhatch.v1.FleetService/TryPart"
 )
 
 // FleetServiceClient is a client for the daisyhatch.v1.FleetService service.
@@ -68,6 +70,8 @@
 	ReportLimits(context.Context, *connect.Request[v1.ReportLimitsRequest]) (*connect.Response[v1.ReportLimitsResponse], error)
 	// ClearSuspects tells of suspects that were served.
 	ClearSuspects(context.Context, *connect.Request[v1.ClearSuspectsRequest]) (*connect.Response[v1.ClearSuspectsResponse], error)
+	// TryPart asks for the right to send one request with a refused part.
+	TryPart(context.Context, *connect.Request[v1.TryPartRequest]) (*connect.Response[v1.TryPartResponse], error)
 }
 
 // NewFleetServiceClient constructs a client for the daisyhatch.v1.FleetService service. By default,
@@ -129,6 +133,12 @@
 			connect.WithSchema(fleetServiceMethods.ByName("ClearSuspects")),
 			connect.WithClientOptions(opts...),
 		),
+		tryPart: connect.NewClient[v1.TryPartRequest, v1.TryPartResponse](
+			httpClient,
+			baseURL+FleetServiceTryPartProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("TryPart")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -142,6 +152,7 @@
 	reportCrash   *connect.Client[v1.ReportCrashRequest, v1.ReportCrashResponse]
 	reportLimits  *connect.Client[v1.ReportLimitsRequest, v1.ReportLimitsResponse]
 	clearSuspects *connect.Client[v1.ClearSuspectsRequest, v1.ClearSuspectsResponse]
+	tryPart       *connect.Client[v1.TryPartRequest, v1.TryPartResponse]
 }
 
 // Join calls daisyhatch.v1.FleetService.Join.
@@ -184,6 +195,11 @@
 	return c.clearSuspects.CallUnary(ctx, req)
 }
 
+// TryPart calls daisyhatch.v1.FleetService.TryPart.
+func (c *fleetServiceClient) TryPart(ctx context.Context, req *connect.Request[v1.TryPartRequest]) (*connect.Response[v1.TryPartResponse], error) {
+	return c.tryPart.CallUnary(ctx, req)
+}
+
 // FleetServiceHandler is an implementation of the daisyhatch.v1.FleetService service.
 type FleetServiceHandler interface {
 	Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error)
@@ -196,6 +212,8 @@
 	ReportLimits(context.Context, *connect.Request[v1.ReportLimitsRequest]) (*connect.Response[v1.ReportLimitsResponse], error)
 	// ClearSuspects tells of suspects that were served.
 	ClearSuspects(context.Context, *connect.Request[v1.ClearSuspectsRequest]) (*connect.Response[v1.ClearSuspectsResponse], error)
+	// TryPart asks for the right to send one request with a refused part.
+	TryPart(context.Context, *connect.Request[v1.TryPartRequest]) (*connect.Response[v1.TryPartResponse], error)
 }
 
 // NewFleetServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -253,6 +271,12 @@
 		connect.WithSchema(fleetServiceMethods.ByName("ClearSuspects")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceTryPartHandler := connect.NewUnaryHandler(
+		FleetServiceTryPartProcedure,
+		svc.TryPart,
+		connect.WithSchema(fleetServiceMethods.ByName("TryPart")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/daisyhatch.v1.FleetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetServiceJoinProcedure:
@@ -271,6 +295,8 @@
 			fleetServiceReportLimitsHandler.ServeHTTP(w, r)
 		case FleetServiceClearSuspectsProcedure:
 			fleetServiceClearSuspectsHandler.ServeHTTP(w, r)
+		case FleetServiceTryPartProcedure:
+			fleetServiceTryPartHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -311,3 +337,7 @@
 func (UnimplementedFleetServiceHandler) ClearSuspects(context.Context, *connect.Request[v1.ClearSuspectsRequest]) (*connect.Response[v1.ClearSuspectsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("daisyhatch.v1.FleetService.ClearSuspects is not implemented"))
 }
+
+func (UnimplementedFleetServiceHandler) TryPart(context.Context, *connect.Request[v1.TryPartRequest]) (*connect.Response[v1.TryPartResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("daisyhatch.v1.FleetService.TryPart is not implemented"))
+}
--- a/pkg/fleet/suspects.go
+++ b/pkg/fleet/suspects.go
@@ -31,6 +31,9 @@
 
 // equalSuspect reports whether two records agree in all that other VMs need to know.
 func equalSuspect(a, b *daisyhatchv1.Suspect) bool {
+	if a.GetPart() && a.GetExpiresUnixMs() != b.GetExpiresUnixMs() {
+		return false
+	}
 	return a.GetFingerprint() == b.GetFingerprint() && a.GetState() == b.GetState() && a.GetCrashes() == b.GetCrashes()
 }
 
@@ -60,6 +63,17 @@
 	return connect.NewResponse(&daisyhatchv1.ClearSuspectsResponse{Result: r.GetClearSuspects()}), nil
 }
 
+// TryPart implements FleetService.
+func (c *Control) TryPart(
+	ctx context.Context, req *connect.Request[daisyhatchv1.TryPartRequest],
+) (*connect.Response[daisyhatchv1.TryPartResponse], error) {
+	r, err := c.proposeUnchecked(ctx, &daisyhatchv1.Command{Body: &daisyhatchv1.Command_PartTrial{PartTrial: req.Msg.GetTrial()}})
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&daisyhatchv1.TryPartResponse{Result: r.GetPartTrial()}), nil
+}
+
 // clearTimeout limits the call that tells one control VM of served suspects.
 const clearTimeout = 500 * time.Millisecond
 
@@ -92,6 +106,7 @@
 type suspectsClient interface {
 	quarantine.CrashClient
 	ClearSuspects(context.Context, *connect.Request[daisyhatchv1.ClearSuspectsRequest]) (*connect.Response[daisyhatchv1.ClearSuspectsResponse], error)
+	TryPart(context.Context, *connect.Request[daisyhatchv1.TryPartRequest]) (*connect.Response[daisyhatchv1.TryPartResponse], error)
 }
 
 func (s *SuspectsReporter) clients() []suspectsClient {
@@ -106,12 +121,11 @@
 }
 
 // Clear reports to the control VMs, one after the other until one accepts it, that suspect requests were served.
-func (s *SuspectsReporter) Clear(ctx context.Context, fingerprints []uint64) error {
+func (s *SuspectsReporter) Clear(ctx context.Context, cmd *daisyhatchv1.ClearSuspectsCommand) error {
 	err := error(quarantine.ErrNoControl)
 	for _, c := range s.clients() {
 		ctx, cancel := context.WithTimeout(ctx, clearTimeout)
-		req := &daisyhatchv1.ClearSuspectsRequest{Clear: &daisyhatchv1.ClearSuspectsCommand{Fingerprints: fingerprints}}
-		_, err = c.ClearSuspects(ctx, connect.NewRequest(req))
+		_, err = c.ClearSuspects(ctx, connect.NewRequest(&daisyhatchv1.ClearSuspectsRequest{Clear: cmd}))
 		cancel()
 		if err == nil {
 			return nil
@@ -119,3 +133,16 @@
 	}
 	return fmt.Errorf("fleet: clear suspects: %w", err)
 }
+
+// TryPart asks the control VMs, one after the other until one answers, for the trial of a refused part.
+func (s *SuspectsReporter) TryPart(ctx context.Context, part uint64) (*daisyhatchv1.PartTrialResult, error) {
+	err := error(quarantine.ErrNoControl)
+	for _, c := range s.clients() {
+		req := &daisyhatchv1.TryPartRequest{Trial: &daisyhatchv1.PartTrialCommand{Part: part}}
+		var res *connect.Response[daisyhatchv1.TryPartResponse]
+		if res, err = c.TryPart(ctx, connect.NewRequest(req)); err == nil {
+			return res.Msg.GetResult(), nil
+		}
+	}
+	return nil, fmt.Errorf("fleet: try part: %w", err)
+}
--- a/pkg/fsm/fsm.go
+++ b/pkg/fsm/fsm.go
@@ -3,6 +3,7 @@
 package fsm
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"sync"
@@ -100,6 +101,7 @@
 // one applies a single command. A batch within a batch is malformed.
 func (m *Machine) one(c *daisyhatchv1.Command, index uint64) *daisyhatchv1.Result {
 	now := m.clock.nowMs
+	proposedAt := cmp.Or(c.GetTimeUnixMs(), now)
 	switch b := c.GetBody().(type) {
 	case *daisyhatchv1.Command_Publish:
 		r, err := m.publication.Publish(b.Publish, now)
@@ -119,10 +121,16 @@
 		return orFailed(&daisyhatchv1.Result{Body: &daisyhatchv1.Result_Complete{Complete: r}}, err)
 	case *daisyhatchv1.Command_Crash:
 		r, err := m.suspects.Crash(b.Crash, now)
+		if err == nil {
+			m.suspects.CrashParts(b.Crash, proposedAt)
+		}
 		return orFailed(&daisyhatchv1.Result{Body: &daisyhatchv1.Result_Crash{Crash: r}}, err)
 	case *daisyhatchv1.Command_ClearSuspects:
-		r := &daisyhatchv1.ClearSuspectsResult{Version: m.suspects.Clear(b.ClearSuspects.GetFingerprints())}
+		m.suspects.Clear(b.ClearSuspects.GetFingerprints())
+		r := &daisyhatchv1.ClearSuspectsResult{Version: m.suspects.Answered(b.ClearSuspects.GetAnswers(), proposedAt)}
 		return &daisyhatchv1.Result{Body: &daisyhatchv1.Result_ClearSuspects{ClearSuspects: r}}
+	case *daisyhatchv1.Command_PartTrial:
+		return &daisyhatchv1.Result{Body: &daisyhatchv1.Result_PartTrial{PartTrial: m.suspects.TryPart(b.PartTrial, proposedAt)}}
 	case *daisyhatchv1.Command_Order:
 		o, err := m.orders.Submit(b.Order, index, now)
 		return orFailed(&daisyhatchv1.Result{Body: &daisyhatchv1.Result_Order{Order: &daisyhatchv1.OrderResult{Order: o}}}, err)
@@ -159,6 +167,7 @@
 		Ledger:          m.ledger.Snapshot(),
 		Suspects:        m.suspects.Records(),
 		SuspectsVersion: m.suspects.Version(),
+		Parts:           m.suspects.PartsSnapshot(),
 		Orders:          m.orders.Snapshot(),
 		Revision:        m.revisions.Snapshot(),
 		StageOwners:     m.stageOwners.Snapshot(),
@@ -210,7 +219,7 @@
 	m.publication, errs[0] = publication.Restore(s.GetPublication())
 	m.leases, errs[1] = lease.Restore(s.GetLeases())
 	m.ledger, errs[2] = ledger.Restore(s.GetLedger())
-	m.suspects, errs[3] = suspect.Restore(s.GetSuspects(), s.GetSuspectsVersion())
+	m.suspects, errs[3] = suspect.Restore(s.GetSuspects(), s.GetParts(), s.GetSuspectsVersion())
 	m.orders, errs[4] = order.Restore(s.GetOrders())
 	m.stageOwners, errs[5] = stageowner.Restore(s.GetStageOwners())
 	return m, errors.Join(errs[:]...)
--- a/pkg/fsm/view.go
+++ b/pkg/fsm/view.go
@@ -72,7 +72,7 @@
 	for _, r := range m.suspects.Records() {
 		out = append(out, proto.CloneOf(r.GetSuspect()))
 	}
-	return out
+	return append(out, m.suspects.Parts()...)
 }
 
 func cloneLeases(leases []*daisyhatchv1.Lease) []*daisyhatchv1.Lease {
--- a/pkg/quarantine/in_flight.go
+++ b/pkg/quarantine/in_flight.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	daisyhatchv1 "github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1"
 	"github.com/daisyhatch/daisyhatch/pkg/engine"
@@ -31,6 +32,11 @@
 	id          uint64
 	fingerprint uint64
 	alone       bool
+	// parts are the parts of the request's prompt that others may share. began is when it was sent, and begun is true once
+	// its answer has begun; neither is tracked where parts isn't.
+	parts []uint64
+	began time.Duration
+	begun bool
 	// known is what was known of the request's crashes when it started; nil when this isn't tracked. localCrashes is how
 	// many crashes of it were known then that were not in the replicated log yet.
 	known        *daisyhatchv1.CrashRun
@@ -74,6 +80,15 @@
 	return f.id
 }
 
+// answerBegun records that the answer to a request in flight has begun.
+func (s *inFlight) answerBegun(k serverKey, id uint64) {
+	for i := range s.byServer[k] {
+		if s.byServer[k][i].id == id {
+			s.byServer[k][i].begun = true
+		}
+	}
+}
+
 func (s *inFlight) end(k serverKey, id uint64) {
 	left := slices.DeleteFunc(s.byServer[k], func(f runningRequest) bool { return f.id == id })
 	if len(left) == 0 {
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strconv"
 	"sync"
@@ -9,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
 
 	daisyhatchv1 "github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1"
 	"github.com/daisyhatch/daisyhatch/pkg/engine"
@@ -28,11 +30,15 @@
 	maxReports = 64
 	// minRefusal is the shortest time that Tracker.Refused returns for a convicted request.
 	minRefusal = time.Second
+	// tryTimeout bounds the question whether a refused part may be tried.
+	tryTimeout = 300 * time.Millisecond
 )
 
 var (
 	suspectsCleared = metrics.NewCounter("daisyhatch_quarantine_suspects_cleared_total")
 	reportsDropped  = metrics.NewCounter("daisyhatch_quarantine_reports_dropped_total")
+	partsRefused    = metrics.NewCounter("daisyhatch_quarantine_parts_refused_total")
+	partTrials      = metrics.NewCounter("daisyhatch_quarantine_part_trials_total")
 )
 
 // TrackerOptions are the dependencies of a Tracker.
@@ -40,14 +46,17 @@
 	// Reporter reports crashes to the control VMs; nil keeps them on this VM.
 	Reporter Reporter
 	// Clear commits that suspects were served; it must be set when Reporter is.
-	Clear func(ctx context.Context, fingerprints []uint64) error
-	Log   logr.Logger
+	Clear func(ctx context.Context, c *daisyhatchv1.ClearSuspectsCommand) error
+	// TryPart asks the control VMs for the trial of a refused part; it must be set when Reporter is.
+	TryPart func(ctx context.Context, part uint64) (*daisyhatchv1.PartTrialResult, error)
+	Log     logr.Logger
 }
 
 // Tracker refuses requests under which servers ended one after the other. Unlike a Quarantine it delays no request: the
 // first retry starts at once, and from the third crash on the request is refused on all VMs. A crash doesn't count
-// against a request that was served lately, and servers that end at about the same time count as one crash. It is safe
-// for concurrent use.
+// against a request that was served lately, and servers that end at about the same time count as one crash. It also refuses
+// requests whose prompts have a part that explains the crashes under requests which are not alike; one request is let
+// through from time to time to find out whether the part still crashes servers. It is safe for concurrent use.
 type Tracker struct {
 	opts  TrackerOptions
 	start time.Time
@@ -68,19 +77,40 @@
 	tracker *Tracker
 	target  engine.Target
 	request runningRequest
+	// ended is when the request left the server; 0 while it is there.
+	ended time.Duration
 }
 
-// Begin records that a request starts on a server. Call End on the result when the request is no longer there.
-func (t *Tracker) Begin(target engine.Target, fingerprint uint64) *Run {
+// Begin records that a request starts on a server. parts are the fingerprints of the parts of its prompt that other prompts
+// may have. Call End on the result when the request is no longer there.
+func (t *Tracker) Begin(target engine.Target, fingerprint uint64, parts ...uint64) *Run {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return &Run{tracker: t, target: target, request: t.state.startRun(target, fingerprint, time.Since(t.start))}
+	return &Run{tracker: t, target: target, request: t.state.startRun(target, fingerprint, parts, time.Since(t.start))}
+}
+
+// AnswerBegun records that the answer to the request has begun: the parts of its prompt don't crash the server.
+func (r *Run) AnswerBegun() {
+	t := r.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Since(t.start)
+	r.request.begun = true
+	t.state.answerBegun(serverKeyOf(r.target), r.request.id)
+	answered := make(map[uint64]time.Duration)
+	for _, part := range t.state.markAnswered(r.request.parts, now) {
+		answered[part] = now
+	}
+	t.shareAnswered(answered)
 }
 
 // End records that the request is no longer on the server. It may be called more than once.
 func (r *Run) End() {
 	r.tracker.mu.Lock()
 	defer r.tracker.mu.Unlock()
+	if r.ended == 0 {
+		r.ended = time.Since(r.tracker.start)
+	}
 	r.tracker.state.end(serverKeyOf(r.target), r.request.id)
 }
 
@@ -90,7 +120,12 @@
 	t := r.tracker
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c, err := t.state.serverCrashed(r.target, r.request, time.Since(t.start))
+	at := time.Since(t.start)
+	if r.ended != 0 {
+		at = r.ended
+	}
+	t.state.endTrials(r.request)
+	c, err := t.state.serverCrashed(r.target, r.request, at, time.Since(t.start))
 	if err != nil {
 		t.opts.Log.Error(err, "crash can't be counted", "server", r.target.Server, "incarnation", r.target.Incarnation)
 	}
@@ -104,14 +139,19 @@
 		return
 	}
 	t.pendingReports++
-	go t.report(c)
+	go t.report(c, at)
 }
 
-func (t *Tracker) report(c *daisyhatchv1.CrashCommand) {
+// report commits the report of a crash that was detected at the given time since the Tracker's start.
+func (t *Tracker) report(c *daisyhatchv1.CrashCommand, at time.Duration) {
 	crashesReported.Inc()
 	ctx, cancel := context.WithTimeout(context.Background(), trackerReportTimeout)
 	defer cancel()
-	res, err := retryWithBackoff(ctx, trackerMaxBackoff, func() (*daisyhatchv1.CrashResult, error) { return t.opts.Reporter.ReportCrash(ctx, c) })
+	res, err := retryWithBackoff(ctx, trackerMaxBackoff, func() (*daisyhatchv1.CrashResult, error) {
+		attempt := proto.CloneOf(c)
+		attempt.AgeMs = (time.Since(t.start) - at).Milliseconds()
+		return t.opts.Reporter.ReportCrash(ctx, attempt)
+	})
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.pendingReports--
@@ -128,7 +168,7 @@
 		}
 	}
 	t.opts.Log.Info("server ended under requests", "server", c.GetServer(), "incarnation", c.GetServerIncarnation(),
-		"requests", len(c.GetFingerprints()), "suspects", repeatSuspects, "list", res.GetVersion())
+		"requests", len(c.GetFingerprints()), "unanswered", len(c.GetUnanswered()), "suspects", repeatSuspects, "list", res.GetVersion())
 }
 
 // Served records that a request was served, which clears it on all VMs.
@@ -146,19 +186,36 @@
 		return
 	}
 	t.pendingReports++
-	go t.clear(fingerprints)
+	go t.clear(fingerprints, nil)
+}
+
+// shareAnswered reports answers to suspected parts, by the time since the Tracker's start, to the control VMs in the
+// background; t.mu must be held.
+func (t *Tracker) shareAnswered(answers map[uint64]time.Duration) {
+	if len(answers) == 0 || t.opts.Reporter == nil || t.pendingReports >= maxReports {
+		return
+	}
+	t.pendingReports++
+	go t.clear(nil, answers)
 }
 
-func (t *Tracker) clear(fingerprints []uint64) {
+func (t *Tracker) clear(fingerprints []uint64, answers map[uint64]time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), clearTimeout)
 	defer cancel()
 	_, err := retryWithBackoff(ctx, trackerMaxBackoff, func() (struct{}, error) {
-		return struct{}{}, t.opts.Clear(ctx, fingerprints)
+		c := &daisyhatchv1.ClearSuspectsCommand{Fingerprints: fingerprints}
+		for part, at := range answers {
+			c.Answers = append(c.Answers, &daisyhatchv1.PartAnswer{Part: part, AgeMs: (time.Since(t.start) - at).Milliseconds() + 1})
+		}
+		return struct{}{}, t.opts.Clear(ctx, c)
 	})
 	for _, f := range fingerprints {
 		suspectsCleared.Inc()
 		t.opts.Log.Info("suspect was served", "fingerprint", formatFingerprint(f), "shared", err == nil)
 	}
+	for part := range answers {
+		t.opts.Log.V(1).Info("suspected part was answered", "part", formatFingerprint(part), "shared", err == nil)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.pendingReports--
@@ -171,6 +228,15 @@
 	defer t.mu.Unlock()
 	n := t.state.applyList(version, list, time.Since(t.start))
 	t.shareServed(n.served)
+	t.shareAnswered(n.answered)
+	for _, part := range n.refusedParts {
+		partsRefused.Inc()
+		t.opts.Log.Info("requests with this part are refused from now on", "part", formatFingerprint(part),
+			"crashes", t.state.parts.suspects[part].GetCrashes(), "list", version)
+	}
+	for _, part := range n.acceptedParts {
+		t.opts.Log.Info("requests with this part are not refused any more", "part", formatFingerprint(part), "list", version)
+	}
 	for _, f := range n.convicted {
 		convictionsLearned.Inc()
 		t.opts.Log.Info("request is refused from now on", "fingerprint", formatFingerprint(f), "crashes", t.state.crashCount(f), "list", version)
@@ -180,18 +246,86 @@
 	}
 }
 
-// Refused returns how long a request is still refused, at least a second; false when it may run.
-func (t *Tracker) Refused(fingerprint uint64) (time.Duration, bool) {
+// Refused returns how long a request is still refused, at least a second; false when it may run. parts are the
+// fingerprints of the parts of its prompt.
+func (t *Tracker) Refused(fingerprint uint64, parts ...uint64) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	wait, refused, _ := t.refused(fingerprint, parts)
+	return max(wait, minRefusal), refused
+}
+
+// refused returns how long a request is still refused, and whether it is. If it is refused for parts that may be tried now,
+// it returns them. t.mu must be held.
+func (t *Tracker) refused(fingerprint uint64, parts []uint64) (wait time.Duration, refused bool, due []refusedPart) {
 	now := time.Now()
+	if left, ok := t.state.refusedFor(fingerprint, now.Sub(t.start), now.UnixMilli()); ok {
+		return left, true, nil
+	}
+	found := t.state.refusedParts(fingerprint, parts, now.Sub(t.start), now.UnixMilli())
+	if len(found) == 0 {
+		return 0, false, nil
+	}
+	if wait = trialWait(found); wait > 0 {
+		return wait, true, nil
+	}
+	return 0, true, found
+}
+
+// Admit decides as Refused does, but if the request is refused only for parts of its prompt that may be tried again, it asks
+// the control VMs for their trial. The request that gets it may be sent.
+func (t *Tracker) Admit(ctx context.Context, fingerprint uint64, parts ...uint64) (time.Duration, bool) {
+	t.mu.Lock()
+	wait, refused, due := t.refused(fingerprint, parts)
+	t.mu.Unlock()
+	if len(due) == 0 {
+		return max(wait, minRefusal), refused
+	}
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	for _, r := range due {
+		if wait, granted := t.try(ctx, r, fingerprint); !granted {
+			return max(wait, minRefusal), true
+		}
+	}
+	return 0, false
+}
+
+// try asks for the trial of a part for a request, and returns how long to wait when it is not granted.
+func (t *Tracker) try(ctx context.Context, r refusedPart, fingerprint uint64) (time.Duration, bool) {
+	res, err := t.askForTrial(ctx, r)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	left, ok := t.state.refusedFor(fingerprint, now.Sub(t.start), now.UnixMilli())
-	if !ok {
-		return 0, false
+	now := time.Since(t.start)
+	if err != nil || !res.GetGranted() {
+		wait := max(time.Duration(res.GetWaitMs())*time.Millisecond, minRefusal)
+		t.state.parts.waits[r.part] = now + wait
+		t.opts.Log.V(1).Info("part may not be tried", "part", formatFingerprint(r.part), "wait_ms", wait.Milliseconds(), "reason", fmt.Sprint(err))
+		return wait, false
+	}
+	partTrials.Inc()
+	t.opts.Log.Info("part is tried", "part", formatFingerprint(r.part), "fingerprint", formatFingerprint(fingerprint))
+	t.state.parts.trials[r.part] = partTrial{fingerprint, now + suspects.TrialMs*time.Millisecond}
+	return 0, true
+}
+
+// askForTrial asks the control VMs for the trial of a part. A part that only this VM refuses is not tried while it can't
+// report the crashes, since other VMs may be trying it.
+func (t *Tracker) askForTrial(ctx context.Context, r refusedPart) (*daisyhatchv1.PartTrialResult, error) {
+	switch {
+	case !r.local:
+		return t.opts.TryPart(ctx, r.part)
+	case t.opts.Reporter != nil:
+		return nil, errUnreported
 	}
-	return max(left, minRefusal), true
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state.local.TryPart(&daisyhatchv1.PartTrialCommand{Part: r.part}, time.Since(t.start).Milliseconds()), nil
 }
 
+// errUnreported means that the control VMs have not taken this VM's reports of crashes yet.
+var errUnreported = errors.New("quarantine: crashes not reported yet")
+
 // Crashes returns how many crashes this VM knows to count against a request.
 func (t *Tracker) Crashes(fingerprint uint64) int {
 	t.mu.Lock()
--- a/pkg/quarantine/tracker_state.go
+++ b/pkg/quarantine/tracker_state.go
@@ -47,6 +47,7 @@
 	// servedOrder holds its keys, oldest first.
 	lastServed  map[uint64]time.Duration
 	servedOrder []uint64
+	parts       partsState
 }
 
 // sharedSuspect is a suspect of the replicated log.
@@ -67,7 +68,7 @@
 func newTrackerState() trackerState {
 	return trackerState{
 		inFlight: newInFlight(), local: suspects.New(), shared: make(map[uint64]sharedSuspect), lastServed: make(map[uint64]time.Duration),
-		lastCounted: make(map[uint64]time.Duration),
+		lastCounted: make(map[uint64]time.Duration), parts: newPartsState(),
 	}
 }
 
@@ -123,23 +124,30 @@
 }
 
 // startRun records that a request starts on a server.
-func (m *trackerState) startRun(t engine.Target, fingerprint uint64, now time.Duration) runningRequest {
-	f := runningRequest{fingerprint: fingerprint}
+func (m *trackerState) startRun(t engine.Target, fingerprint uint64, parts []uint64, now time.Duration) runningRequest {
+	f := runningRequest{fingerprint: fingerprint, parts: parts, began: now}
 	f.known, f.localCrashes = m.crashesKnown(fingerprint, now)
 	f.id = m.begin(serverKeyOf(t), f)
 	return f
 }
 
-// serverCrashed records the crash of a server that request f detected, and returns the report to send. It returns nil
-// when the crash was reported before, or when all requests in flight there had been served lately. Having been served
-// excuses a request from one crash only. Errors are those of suspect.Table.
-func (m *trackerState) serverCrashed(t engine.Target, f runningRequest, now time.Duration) (*daisyhatchv1.CrashCommand, error) {
+// serverCrashed records the crash of a server that request f detected at the time at, and returns the report to send. It
+// returns nil when the crash was reported before, or when all requests in flight there had been served lately and say
+// nothing of parts of prompts. Having been served excuses a request from one crash only. Errors are those of
+// suspect.Table.
+func (m *trackerState) serverCrashed(t engine.Target, f runningRequest, at, now time.Duration) (*daisyhatchv1.CrashCommand, error) {
 	c, first := m.reportFor(serverKeyOf(t), f)
 	if !first {
 		return nil, nil
 	}
-	report := &daisyhatchv1.CrashCommand{Server: c.key.server, ServerIncarnation: c.key.incarnation}
-	localReport := &daisyhatchv1.CrashCommand{Server: c.key.server, ServerIncarnation: c.key.incarnation}
+	unanswered := m.unanswered(c.key, f)
+	report := &daisyhatchv1.CrashCommand{
+		Server: c.key.server, ServerIncarnation: c.key.incarnation, Unanswered: unanswered, Answers: m.parts.answersFor(unanswered, at),
+	}
+	localReport := &daisyhatchv1.CrashCommand{
+		Server: report.Server, ServerIncarnation: report.ServerIncarnation, Unanswered: report.Unanswered, Answers: report.Answers,
+		AgeMs: (now - at).Milliseconds(),
+	}
 	for i, f := range c.command.GetFingerprints() {
 		if _, ok := m.lastServed[f]; ok {
 			m.dropServed(f)
@@ -149,7 +157,7 @@
 		report.Runs = append(report.Runs, c.command.GetRuns()[i])
 		localReport.Runs = append(localReport.Runs, &daisyhatchv1.CrashRun{KnownCrashes: c.localCrashes[i]})
 	}
-	if len(report.Fingerprints) == 0 {
+	if len(report.Fingerprints) == 0 && len(unanswered) == 0 {
 		return nil, nil
 	}
 	before := make([]int, len(report.Fingerprints))
@@ -160,6 +168,7 @@
 	if _, err := m.local.Crash(localReport, now.Milliseconds()); err != nil {
 		return nil, err
 	}
+	m.local.CrashParts(localReport, now.Milliseconds())
 	for i, f := range report.Fingerprints {
 		if m.crashCount(f) > before[i] {
 			m.noteCounted(f, now)
@@ -175,6 +184,7 @@
 		before[f] = m.crashCount(f)
 	}
 	m.local.Clear(c.GetFingerprints())
+	m.local.ForgetParts(c)
 	for _, s := range r.GetSuspects() {
 		if r.GetVersion() > m.version {
 			m.addShared(s, r.GetVersion(), before[s.GetFingerprint()], now)
@@ -195,6 +205,10 @@
 	// convicted are the requests that are refused from now on, cleared those that no longer are. served are suspects
 	// that this VM served within servedGracePeriod, which the other VMs must be told.
 	convicted, cleared, served []uint64
+	// refusedParts and acceptedParts are the parts of prompts that are refused from now on, and those that no longer are.
+	// answered are suspected parts, with the time of an answer that this VM has seen and the other VMs must be told.
+	refusedParts, acceptedParts []uint64
+	answered                    map[uint64]time.Duration
 }
 
 // applyList applies a complete list of suspects. It ignores a list that is not newer than the latest one.
@@ -205,6 +219,8 @@
 	m.version = version
 	m.dropOldLists(now)
 	m.recentLists = append(m.recentLists, listVersion{version, now})
+	n.refusedParts, n.acceptedParts = m.parts.applyList(list, now)
+	n.answered = m.parts.takeUnreportedAnswers(now)
 	previousStates, previousCrashes := make(map[uint64]daisyhatchv1.SuspectState), make(map[uint64]int)
 	for f, s := range m.shared {
 		if s.version <= version {
@@ -214,7 +230,7 @@
 	}
 	for _, s := range list {
 		f := s.GetFingerprint()
-		if m.shared[f].version > version {
+		if s.GetPart() || m.shared[f].version > version {
 			continue
 		}
 		if at, ok := m.lastServed[f]; ok && now-at < servedGracePeriod {
--- a/pkg/quarantine/tracker_test.go
+++ b/pkg/quarantine/tracker_test.go
@@ -197,21 +197,35 @@
 		return nil, errNoLeader
 	}
 	res, err := g.table.Crash(c, time.Now().UnixMilli())
+	g.table.CrashParts(c, time.Now().UnixMilli())
 	g.broadcast()
 	return res, err
 }
 
-func (g *fakeControlGroup) clear(_ context.Context, fingerprints []uint64) error {
+func (g *fakeControlGroup) clear(_ context.Context, c *daisyhatchv1.ClearSuspectsCommand) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.leaderless {
 		return errNoLeader
 	}
-	g.table.Clear(fingerprints)
+	g.table.Clear(c.GetFingerprints())
+	g.table.Answered(c.GetAnswers(), time.Now().UnixMilli())
 	g.broadcast()
 	return nil
 }
 
+func (g *fakeControlGroup) tryPart(_ context.Context, part uint64) (*daisyhatchv1.PartTrialResult, error) {
+	time.Sleep(g.randomDelay(40))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.leaderless {
+		return nil, errNoLeader
+	}
+	r := g.table.TryPart(&daisyhatchv1.PartTrialCommand{Part: part}, time.Now().UnixMilli())
+	g.broadcast()
+	return r, nil
+}
+
 // randomDelay returns a random duration of 1 to maxMs milliseconds.
 func (g *fakeControlGroup) randomDelay(maxMs int) time.Duration {
 	g.mu.Lock()
@@ -222,7 +236,7 @@
 // broadcast sends the list to each tracker within 400 ms, possibly out of order; g.mu must be held.
 func (g *fakeControlGroup) broadcast() {
 	version := g.table.Version()
-	var list []*daisyhatchv1.Suspect
+	list := g.table.Parts()
 	for _, r := range g.table.Records() {
 		if s := r.GetSuspect(); s.GetCrashes() >= suspects.SharedCrashes {
 			list = append(list, &daisyhatchv1.Suspect{
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -175,7 +175,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{relay: r, w: w, req: req, start: begin}
-	if !x.accept() || x.refusedAsSuspect() {
+	if !x.accept() || !x.admitted() {
 		x.finish()
 		return
 	}
@@ -207,8 +207,9 @@
 	priority     catalog.Priority
 	call         dialect.Call
 	body         []byte
-	// fingerprint identifies the request by its content.
+	// fingerprint identifies the request by its content, parts the parts of its prompt that others may share.
 	fingerprint uint64
+	parts       []uint64
 
 	inputs *stageInputs
 	// resultExpiry is, by stage, the latest time at which a stage that reads its results may start.
@@ -282,7 +283,12 @@
 	x.deadline = x.start.Add(min(timeout, x.route.Timeout))
 	x.waited = x.relay.estimateWaited(x.route.Name, timeout)
 	x.lastEventID = x.call.ResumeAfter
-	return x.readBody()
+	if !x.readBody() {
+		return false
+	}
+	x.service = x.catalog.Services[x.route.Pick(rand.Float64())]
+	x.parts = partFingerprints(x.service.Name, x.call.Prompt)
+	return true
 }
 
 // targetTime returns the time until which the answer has its full value.
@@ -408,7 +414,7 @@
 	fields := []any{
 		"id", x.call.ID, "route", route, "service", service, "organisation", x.organisation, "outcome", x.outcome,
 		"status", x.status, "reason", x.reason, "late", late, "took_ms", took.Milliseconds(), "waited_ms", x.waited.Milliseconds(),
-		"staged_ms", x.stagesTook.Milliseconds(), "chains", x.stageRuns, "failed_stage", x.failedStage, "first_ms", x.firstByte.Milliseconds(), "servers", x.tried, "parts", formatParts(x.call.Prompt),
+		"staged_ms", x.stagesTook.Milliseconds(), "chains", x.stageRuns, "failed_stage", x.failedStage, "first_ms", x.firstByte.Milliseconds(), "servers", x.tried, "parts", formatFingerprints(x.parts),
 		"version", version, "state", k.Number(), "state_age_ms", k.ContactAge(time.Now()).Milliseconds(),
 	}
 	if suppressed > 0 {
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -20,7 +20,6 @@
 // run processes an accepted request: it runs the stages, sends the request, retries where allowed, and answers the
 // caller.
 func (x *exchange) run() {
-	x.service = x.catalog.Services[x.route.Pick(rand.Float64())]
 	if !x.runStages() {
 		return
 	}
@@ -121,12 +120,21 @@
 	return max(wait, noServerRetryAfter)
 }
 
-// refusedAsSuspect reports whether the request is suspected of crashing servers; if so, it ends the request.
+// admitted reports whether the request may run as far as crashes of servers are concerned; if not, it ends the request.
+func (x *exchange) admitted() bool {
+	retryAfter, refused := x.relay.opts.Suspects.Admit(x.req.Context(), x.fingerprint, x.parts...)
+	return !x.endSuspect(retryAfter, refused)
+}
+
+// refusedAsSuspect reports whether the request has become suspected of crashing servers; if so, it ends the request.
 func (x *exchange) refusedAsSuspect() bool {
-	retryAfter, refused := x.relay.opts.Suspects.Refused(x.fingerprint)
+	return x.endSuspect(x.relay.opts.Suspects.Refused(x.fingerprint, x.parts...))
+}
+
+func (x *exchange) endSuspect(retryAfter time.Duration, refused bool) bool {
 	if refused {
 		metrics.GetOrCreateCounter("daisyhatch_relay_suspects_refused_total").Inc()
-		x.giveUp(retryAfter, "servers ended one after the other under this request")
+		x.giveUp(retryAfter, "servers ended one after the other under this request or a part of its prompt")
 	}
 	return refused
 }
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -83,7 +83,7 @@
 			if err := r.limiter.Check(c.Server); err != nil {
 				return err
 			}
-			if _, refused := r.opts.Suspects.Refused(x.fingerprint); refused {
+			if _, refused := r.opts.Suspects.Refused(x.fingerprint, x.parts...); refused {
 				return errRequestSuspect
 			}
 			return nil
@@ -167,6 +167,9 @@
 	res.body = body
 	x.firstByte = time.Since(x.start)
 	x.recordAnswer(c, time.Since(res.start))
+	if a.Delimited {
+		x.serverRun.AnswerBegun()
+	}
 	x.recordEnd(c, false, false)
 	res.status = sendAnswered
 	if a.Status >= http.StatusInternalServerError {
@@ -194,7 +197,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	x.inFlight, x.begun = true, false
-	x.serverRun = r.opts.Suspects.Begin(liveness.Target(c.Server), x.fingerprint)
+	x.serverRun = r.opts.Suspects.Begin(liveness.Target(c.Server), x.fingerprint, x.parts...)
 	if x.service.Engine != nil {
 		x.placed = r.placements.Add(x.call.Prompt, c.ID, now)
 	} else {
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -34,6 +34,7 @@
 			if firstEvent {
 				firstEvent = false
 				x.recordAnswer(c, time.Since(res.start))
+				x.serverRun.AnswerBegun()
 				x.inputs.release()
 			}
 			if werr := x.writeEvent(res, event, !eventBuffered(events), flusher); werr != nil {
--- a/pkg/relay/unanswered.go
+++ b/pkg/relay/unanswered.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -9,13 +10,14 @@
 
 	"github.com/daisyhatch/daisyhatch/pkg/dialect"
 	"github.com/daisyhatch/daisyhatch/pkg/fleet"
+	"github.com/daisyhatch/daisyhatch/pkg/suspect"
 )
 
 // logUnanswered logs and counts a send that got no complete answer, with the state of the server. A server crash counts
 // against the request.
 func (x *exchange) logUnanswered(c fleet.Candidate, res *sendResult) {
 	start, reason, serverRun, crashes := res.start, res.reason(), x.serverRun, x.relay.opts.Suspects.Crashes(x.fingerprint)
-	parts, begun := formatParts(x.call.Prompt), x.begun
+	parts, begun := formatFingerprints(x.parts), x.begun
 	report := func() {
 		state := x.relay.liveness.Check(x.ctx, c.Server, serverRun)
 		metrics.GetOrCreateCounter(fmt.Sprintf(`daisyhatch_relay_unanswered_total{server=%q,begun="%t"}`, state, begun)).Inc()
@@ -31,11 +33,24 @@
 	report()
 }
 
-// formatParts returns the ids of the parts that a prompt may share with others, as logged.
-func formatParts(p *dialect.Prompt) []string {
-	var out []string
+// maxParts bounds the parts of a prompt that are remembered as possible causes of a crash; further ones are ignored.
+const maxParts = 64
+
+// partFingerprints returns the fingerprints of the parts that a prompt sent to a service may share with others.
+func partFingerprints(service string, p *dialect.Prompt) []uint64 {
+	var out []uint64
 	for _, part := range p.SharedParts() {
-		out = append(out, strconv.FormatUint(part.ID, 16))
+		if f := suspect.PartFingerprint(service, part.ID); len(out) < maxParts && !slices.Contains(out, f) {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
+func formatFingerprints(list []uint64) []string {
+	var out []string
+	for _, f := range list {
+		out = append(out, strconv.FormatUint(f, 16))
 	}
 	return out
 }
--- a/pkg/suspect/suspect.go
+++ b/pkg/suspect/suspect.go
@@ -45,6 +45,7 @@
 // Table holds the suspects by fingerprint. It isn't safe for concurrent use.
 type Table struct {
 	records map[uint64]*daisyhatchv1.SuspectRecord
+	parts   partTable
 	changes uint64
 	// version grows with each crash report, each call of Clear and each record that expires.
 	version uint64
@@ -52,7 +53,7 @@
 
 // New returns an empty Table.
 func New() *Table {
-	return &Table{records: make(map[uint64]*daisyhatchv1.SuspectRecord)}
+	return &Table{records: make(map[uint64]*daisyhatchv1.SuspectRecord), parts: newPartTable()}
 }
 
 // Crash counts one crash of a server incarnation against the fingerprints that were in flight on it. nowMs is the
@@ -65,7 +66,7 @@
 	}
 	t.Expire(nowMs)
 	t.version++
-	crash := xxhash.Sum64String(c.GetServer() + "\x00" + c.GetServerIncarnation())
+	crash := crashID(c)
 	alone := c.GetAlone() && len(c.GetFingerprints()) == 1
 	result := &daisyhatchv1.CrashResult{Version: t.version}
 	for i, f := range c.GetFingerprints() {
@@ -80,6 +81,10 @@
 	return result, nil
 }
 
+func crashID(c *daisyhatchv1.CrashCommand) uint64 {
+	return xxhash.Sum64String(c.GetServer() + "\x00" + c.GetServerIncarnation())
+}
+
 func (t *Table) getOrCreate(fingerprint uint64) *daisyhatchv1.SuspectRecord {
 	r, ok := t.records[fingerprint]
 	if !ok {
@@ -124,6 +129,57 @@
 	return t.version
 }
 
+// CrashParts counts a crash against the parts of prompts that may have caused it; call it after Crash. timeMs is the time
+// in Unix milliseconds at which the command was proposed. The replicated time won't do here: it stands still between
+// commands, and crashes a fraction of a second apart have to be told from those that have one cause.
+func (t *Table) CrashParts(c *daisyhatchv1.CrashCommand, timeMs int64) {
+	t.parts.crash(crashID(c), c, timeMs)
+}
+
+// Answered takes the crashes before an answer off the parts of the answered prompt, and ends their refusal. timeMs is the
+// time at which the command was proposed. It returns the table's version.
+func (t *Table) Answered(answers []*daisyhatchv1.PartAnswer, timeMs int64) uint64 {
+	if len(answers) == 0 {
+		return t.version
+	}
+	t.version++
+	t.changes++
+	for _, a := range answers {
+		t.parts.answered(a.GetPart(), timeMs-max(a.GetAgeMs(), 0))
+	}
+	t.parts.judge(timeMs)
+	return t.version
+}
+
+// TryPart grants a VM the right to send one request with a refused part, or returns the time until it may ask again. timeMs
+// is the time at which the command was proposed.
+func (t *Table) TryPart(c *daisyhatchv1.PartTrialCommand, timeMs int64) *daisyhatchv1.PartTrialResult {
+	granted, wait := t.parts.try(c.GetPart(), timeMs)
+	if granted {
+		t.version++
+		t.changes++
+	}
+	return &daisyhatchv1.PartTrialResult{Granted: granted, WaitMs: wait}
+}
+
+// ForgetParts drops what a crash says of parts of prompts. Once no crash is left, no part is refused.
+func (t *Table) ForgetParts(c *daisyhatchv1.CrashCommand) { t.parts.forget(crashID(c)) }
+
+// HasParts reports whether crashes are kept as evidence against parts of prompts.
+func (t *Table) HasParts() bool { return len(t.parts.crashes) > 0 }
+
+// RefusedPart returns when the next trial of a refused part may begin, in Unix milliseconds; false when it is not refused.
+func (t *Table) RefusedPart(part uint64) (untilMs int64, ok bool) {
+	r := t.parts.refused[part]
+	return r.GetUntilUnixMs(), r != nil
+}
+
+// Parts returns the parts of prompts that are refused, and those that may explain SharedCrashes crashes or more.
+func (t *Table) Parts() []*daisyhatchv1.Suspect { return t.parts.suspects() }
+
+// PartsSnapshot returns the evidence against parts of prompts. The caller must not modify it.
+func (t *Table) PartsSnapshot() *daisyhatchv1.PartsSnapshot { return t.parts.snapshot() }
+
 // Get returns the suspect with a fingerprint, or nil when there is none. The caller must not modify it.
 func (t *Table) Get(fingerprint uint64) *daisyhatchv1.Suspect {
 	return t.records[fingerprint].GetSuspect()
@@ -164,6 +220,8 @@
 		return fmt.Errorf("%w: server and incarnation must have 1 to %d bytes", ErrCommand, maxNameBytes)
 	case len(c.GetFingerprints()) > MaxFingerprints:
 		return fmt.Errorf("%w: more than %d fingerprints", ErrCommand, MaxFingerprints)
+	case len(c.GetUnanswered()) > MaxFingerprints || len(c.GetAnswers()) > MaxCauses:
+		return fmt.Errorf("%w: more than %d unanswered requests or %d answers", ErrCommand, MaxFingerprints, MaxCauses)
 	case len(c.GetRuns()) != 0 && len(c.GetRuns()) != len(c.GetFingerprints()):
 		return fmt.Errorf("%w: %d runs for %d fingerprints", ErrCommand, len(c.GetRuns()), len(c.GetFingerprints()))
 	}
@@ -192,11 +250,15 @@
 	return out
 }
 
-// Restore returns the Table with the records and version of a snapshot. It returns ErrSnapshot when a record has no
-// suspect, a fingerprint occurs twice or there are more than MaxSuspects records.
-func Restore(records []*daisyhatchv1.SuspectRecord, version uint64) (*Table, error) {
+// Restore returns the Table with the records, parts and version of a snapshot. It returns ErrSnapshot when a record has no
+// suspect, a fingerprint or a part occurs twice, or a limit is exceeded.
+func Restore(records []*daisyhatchv1.SuspectRecord, parts *daisyhatchv1.PartsSnapshot, version uint64) (*Table, error) {
 	t := New()
 	t.version = version
+	var err error
+	if t.parts, err = restorePartTable(parts); err != nil {
+		return nil, err
+	}
 	for _, r := range records {
 		f := r.GetSuspect().GetFingerprint()
 		if _, ok := t.records[f]; ok || r.GetSuspect() == nil || len(t.records) >= MaxSuspects {
--- a/pkg/suspect/suspect_test.go
+++ b/pkg/suspect/suspect_test.go
@@ -64,7 +64,7 @@
 			}
 			if rapid.Bool().Draw(t, "reload") {
 				s := &daisyhatchv1.MachineSnapshot{Suspects: table.Records()}
-				table, err = Restore(proto.CloneOf(s).GetSuspects(), table.Version())
+				table, err = Restore(proto.CloneOf(s).GetSuspects(), table.PartsSnapshot(), table.Version())
 				require.NoError(t, err)
 			}
 		}
@@ -154,7 +154,7 @@
 	_, err = table.Crash(&daisyhatchv1.CrashCommand{Server: "a", Fingerprints: []uint64{1}}, 1)
 	require.NoError(t, err)
 	requireGrown("crash")
-	table, err = Restore(table.Records(), table.Version())
+	table, err = Restore(table.Records(), table.PartsSnapshot(), table.Version())
 	require.NoError(t, err)
 	table.Expire(1 + SuspicionMs)
 	requireGrown("expiry")
