stagecall: a key of pieces that explains the ends of stage servers is refused, whatever else its requests hold

TestPieceKeyThatCrashesStageServersIsRefused: 29 stage servers ended before, 4 now; pieces with other keys are made. The owner of the calls refuses and tries; a call that is answered takes the ends off the keys of all its pieces.

Left out: organisations, models and adapters as causes. Each is common to so many requests that a few ends in a quiet minute would refuse all of them.

--- a/pkg/stagecall/pool.go
+++ b/pkg/stagecall/pool.go
@@ -219,7 +219,7 @@
 	var runs []*quarantine.Run
 	for _, part := range c.Parts {
 		if f := part.Job.Fingerprint; f != 0 {
-			runs = append(runs, p.runner.opts.Suspects.Begin(liveness.Target(c.Server.record()), f))
+			runs = append(runs, p.runner.opts.Suspects.Begin(liveness.Target(c.Server.record()), f, part.Job.causes()...))
 		}
 	}
 	return runs
@@ -234,6 +234,9 @@
 		state = p.runner.liveness.Check(context.Background(), c.Server.record(), runs...)
 	}
 	for _, r := range runs {
+		if err == nil {
+			r.AnswerBegun()
+		}
 		r.End()
 	}
 	return state
@@ -298,7 +301,7 @@
 		return false
 	}
 	j.Isolated = p.runner.opts.Suspects.Crashes(j.Fingerprint) >= isolateAfterCrashes
-	_, refused := p.runner.opts.Suspects.Refused(j.Fingerprint)
+	_, refused := p.runner.opts.Suspects.Refused(j.Fingerprint, j.causes()...)
 	return refused
 }
 
--- a/pkg/stagecall/runner.go
+++ b/pkg/stagecall/runner.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	daisyhatchv1 "github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1"
@@ -18,6 +19,7 @@
 	"github.com/daisyhatch/daisyhatch/pkg/liveness"
 	"github.com/daisyhatch/daisyhatch/pkg/quarantine"
 	"github.com/daisyhatch/daisyhatch/pkg/retry"
+	"github.com/daisyhatch/daisyhatch/pkg/suspect"
 	"github.com/daisyhatch/daisyhatch/pkg/upstream"
 )
 
@@ -141,13 +143,14 @@
 	if err != nil {
 		return nil, err
 	}
-	if left, refused := r.opts.Suspects.Refused(q.GetFingerprint()); refused {
+	now := time.Now()
+	job := newJob(q, now)
+	if left, refused := r.opts.Suspects.Admit(ctx, job.Fingerprint, job.causes()...); refused {
 		r.opts.Log.Info("stage refused", "request", q.GetRequest(), "service", q.GetService(), "wait_ms", left.Milliseconds(),
 			"remaining_ms", q.GetRemainingMs(), "reason", reasonSuspect)
 		return &daisyhatchv1.StageRunResponse{Refused: true, RetryAfterMs: left.Milliseconds(), Reason: reasonSuspect}, nil
 	}
-	now := time.Now()
-	w := &waiter{job: newJob(q, now), pending: len(q.GetPieces()), done: make(chan struct{}), inputsRead: inputsRead}
+	w := &waiter{job: job, pending: len(q.GetPieces()), done: make(chan struct{}), inputsRead: inputsRead}
 	if q.GetReleaseInputs() {
 		w.inputsRead = sync.OnceFunc(func() { r.release(inputsOf(q)) })
 	}
@@ -181,7 +184,7 @@
 }
 
 // reasonSuspect is the reason given when a request is refused because servers crashed while running it.
-const reasonSuspect = "servers ended one after the other under this request"
+const reasonSuspect = "servers ended one after the other under this request or the key of its pieces"
 
 // release releases results through the VMs that own the calls that made them.
 func (r *Runner) release(handles []string) {
@@ -213,5 +216,16 @@
 	for _, x := range q.GetPieces() {
 		j.Pieces = append(j.Pieces, Piece{Index: int(x.GetIndex()), Inputs: x.GetInputs()})
 	}
+	if j.Key != "" {
+		j.KeyFingerprint = suspect.PartFingerprint(q.GetService(), xxhash.Sum64String(j.Key))
+	}
 	return j
 }
+
+// causes returns what the job shares with unlike requests and what may crash servers.
+func (j *Job) causes() []uint64 {
+	if j.KeyFingerprint == 0 {
+		return nil
+	}
+	return []uint64{j.KeyFingerprint}
+}
--- a/pkg/stagecall/scheduler.go
+++ b/pkg/stagecall/scheduler.go
@@ -20,6 +20,8 @@
 	Fingerprint uint64
 	Stage       int
 	Key         string
+	// KeyFingerprint identifies the service and Key, which requests that are otherwise unlike may share; 0 without a key.
+	KeyFingerprint uint64
 	// Isolated is true after several servers crashed under the request; its pieces then share no call with other jobs.
 	Isolated bool
 	// NotBefore is the earliest time at which its pieces may be sent again after a server crashed while running them.
