directory, relay: servers' software versions are kept and logged, and so are streams that go on

Logs couldn't tell at which version a stream began or went on, nor whether that was within an answer or at a caller's next try. No decision changes.

--- a/pkg/dialect/dialect.go
+++ b/pkg/dialect/dialect.go
@@ -76,6 +76,9 @@
 	Key     string
 	// ResumeAfter is the id of the last event that the caller has received; empty for a stream from the start.
 	ResumeAfter string
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream that ResumeAfter continues; empty
+	// when the caller doesn't say.
+	Resumes string
 	// Prompt is nil for requests without one.
 	Prompt *Prompt
 	// Pieces is the number of pieces of each stage; a stage without pieces is not run.
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -50,7 +50,9 @@
 	Address string
 	// Domain is the failure domain.
 	Domain string
-	State  State
+	// Version is the version of the server's software. Versions have no order; empty when the server names none.
+	Version string
+	State   State
 	// Slots is the number of requests that the server runs at the same time.
 	Slots int
 	// ColdUntil is the end of the cold start, by this VM's monotonic clock.
@@ -159,7 +161,7 @@
 	s.Born = max(s.Born, old.Born)
 	s.Sequence = max(s.Sequence, old.Sequence)
 	if s.Address == "" {
-		s.Service, s.Address, s.Domain, s.Slots = old.Service, old.Address, old.Domain, old.Slots
+		s.Service, s.Address, s.Domain, s.Version, s.Slots = old.Service, old.Address, old.Domain, old.Version, old.Slots
 	}
 	return s
 }
@@ -172,7 +174,7 @@
 func differs(a, b *Server) bool {
 	cold := a.ColdUntil.Sub(b.ColdUntil).Abs() > coldTolerance && (a.ColdUntil.After(a.Heard) || b.ColdUntil.After(a.Heard))
 	return cold || a.Quiet != b.Quiet || a.Born != b.Born || a.State != b.State || a.Service != b.Service || a.Address != b.Address ||
-		a.Domain != b.Domain || a.Slots != b.Slots
+		a.Domain != b.Domain || a.Version != b.Version || a.Slots != b.Slots
 }
 
 // set stores a record and gives it its address, unless a later incarnation has the address.
--- a/pkg/fleet/commands.go
+++ b/pkg/fleet/commands.go
@@ -97,7 +97,7 @@
 	updated := c.opts.State.MergeDirect(s)
 	if len(updated) > 0 {
 		c.opts.Log.Info("server announced", "server", s.ID, "service", s.Service, "state", s.State.String(),
-			"address", s.Address, "domain", s.Domain, "born_ms", s.Born, "sequence", s.Sequence)
+			"address", s.Address, "domain", s.Domain, "version", s.Version, "born_ms", s.Born, "sequence", s.Sequence)
 	}
 	if s.State == directory.Ready {
 		return nil
--- a/pkg/fleet/convert.go
+++ b/pkg/fleet/convert.go
@@ -13,7 +13,7 @@
 		Id: s.ID, BornUnixMs: s.Born, Sequence: s.Sequence, Service: s.Service, Address: s.Address,
 		FailureDomain: s.Domain, State: daisyhatchv1.AnnouncedState(s.State), Slots: uint32(max(s.Slots, 0)),
 		ColdRemainingMs: max(0, s.ColdUntil.Sub(now).Milliseconds()), AgeMs: max(0, now.Sub(s.Heard).Milliseconds()),
-		Quiet: s.Quiet,
+		Quiet: s.Quiet, Version: s.Version,
 	}
 }
 
@@ -22,6 +22,7 @@
 		ID: s.GetId(), Born: s.GetBornUnixMs(), Sequence: s.GetSequence(), Service: s.GetService(), Address: s.GetAddress(),
 		Domain: s.GetFailureDomain(), State: directory.State(s.GetState()), Slots: int(s.GetSlots()),
 		Heard: now.Add(-time.Duration(s.GetAgeMs()) * time.Millisecond), Quiet: s.GetQuiet(),
+		Version: s.GetVersion(),
 	}
 	if c := s.GetColdRemainingMs(); c > 0 {
 		v.ColdUntil = now.Add(time.Duration(c) * time.Millisecond)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -226,6 +226,8 @@
 	placed *placement.InFlight
 	// tried lists the servers to which a send was attempted, in order.
 	tried []string
+	// versions are the software versions of the servers tried.
+	versions []string
 	// possibleRuns is the number of servers that may have run the request.
 	possibleRuns int
 	// inFlight is true between recordStart and recordEnd.
@@ -414,7 +416,8 @@
 	fields := []any{
 		"id", x.call.ID, "route", route, "service", service, "organisation", x.organisation, "outcome", x.outcome,
 		"status", x.status, "reason", x.reason, "late", late, "took_ms", took.Milliseconds(), "waited_ms", x.waited.Milliseconds(),
-		"staged_ms", x.stagesTook.Milliseconds(), "chains", x.stageRuns, "failed_stage", x.failedStage, "first_ms", x.firstByte.Milliseconds(), "servers", x.tried, "parts", formatFingerprints(x.parts),
+		"staged_ms", x.stagesTook.Milliseconds(), "chains", x.stageRuns, "failed_stage", x.failedStage, "first_ms", x.firstByte.Milliseconds(), "servers", x.tried, "versions", x.versions, "resumes", x.call.Resumes, "after_event", x.call.ResumeAfter,
+		"parts", formatFingerprints(x.parts),
 		"version", version, "state", k.Number(), "state_age_ms", k.ContactAge(time.Now()).Milliseconds(),
 	}
 	if suppressed > 0 {
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -63,7 +63,7 @@
 				return
 			}
 			// The server is healthy and only lacked the inputs, so it may be tried again.
-			x.tried = nil
+			x.tried, x.versions = nil, nil
 			continue
 		case actionRefuse:
 			res.close()
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -62,7 +62,8 @@
 // send sends the request to a server and reads the head of the answer, and the body unless it is a stream.
 func (x *exchange) send(c fleet.Candidate) *sendResult {
 	r := x.relay
-	x.tried = append(x.tried, c.ID)
+	x.tried, x.versions = append(x.tried, c.ID), append(x.versions, c.Version)
+	x.logResume(c)
 	start := time.Now()
 	x.recordStart(c, start)
 	call := upstream.Call{
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -145,3 +145,12 @@
 		}
 	}
 }
+
+// logResume logs a send that continues a stream.
+func (x *exchange) logResume(c fleet.Candidate) {
+	if x.lastEventID == "" {
+		return
+	}
+	x.relay.opts.Log.Info("stream goes on", "request", x.call.ID, "resumes", x.call.Resumes, "in_answer", x.headSent, "after_event", x.lastEventID,
+		"service", x.service.Name, "server", c.ID, "incarnation", c.Incarnation(), "version", c.Version)
+}
