relay, fleet: a stream goes on only at the software version that began it

Cause: announcements carry the software version, and no record of a server held it; and a VM forgets an exchange at its end, so that the VM at which a caller takes a stream up, a third one or one that has just started, knows nothing of it. Class of fault: work that goes on at another server with what the first one made, without a check that both agree on it.

Ruled out as the cause here: servers that come back under their id with another version (all had new ids).

The VM that begins a stream reports its version to two control VMs at once while versions are mixed; a take-up goes on at the reported version, at the only version in service, or is refused as not run.

--- a/gen/daisyhatch/v1/daisyhatchv1connect/fleet.connect.go
+++ b/gen/daisyhatch/v1/daisyhatchv1connect/fleet.connect.go
@@ -56,6 +56,11 @@
 	FleetServiceClearSuspectsProcedure = "/daisyhatch.v1.FleetService/ClearSuspects"
 	// FleetServiceTryPartProcedure is the fully-qualified name of the FleetService's TryPart RPC.
 	FleetServiceTryPartProcedure = "/daisyhatch.v1.FleetService/TryPart"
+	// FleetServiceReportOriginsProcedure is the fully-qualified name of the FleetService's
+	// ReportOrigins RPC.
+	FleetServiceReportOriginsProcedure = "/daisyhatch.v1.FleetService/ReportOrigins"
+	// FleetServiceFindOriginProcedure is the fully-qualified name of the FleetService's FindOrigin RPC.
+	FleetServiceFindOriginProcedure = "/daisyhatch.v1.FleetService/FindOrigin"
 )
 
 // FleetServiceClient is a client for the daisyhatch.v1.FleetService service.
@@ -72,6 +77,9 @@
 	ClearSuspects(context.Context, *connect.Request[v1.ClearSuspectsRequest]) (*connect.Response[v1.ClearSuspectsResponse], error)
 	// TryPart asks for the right to send one request with a refused part.
 	TryPart(context.Context, *connect.Request[v1.TryPartRequest]) (*connect.Response[v1.TryPartResponse], error)
+	// ReportOrigins tells of streams that began at entry VMs.
+	ReportOrigins(context.Context, *connect.Request[v1.ReportOriginsRequest]) (*connect.Response[v1.ReportOriginsResponse], error)
+	FindOrigin(context.Context, *connect.Request[v1.FindOriginRequest]) (*connect.Response[v1.FindOriginResponse], error)
 }
 
 // NewFleetServiceClient constructs a client for the daisyhatch.v1.FleetService service. By default,
@@ -139,6 +147,18 @@
 			connect.WithSchema(fleetServiceMethods.ByName("TryPart")),
 			connect.WithClientOptions(opts...),
 		),
+		reportOrigins: connect.NewClient[v1.ReportOriginsRequest, v1.ReportOriginsResponse](
+			httpClient,
+			baseURL+FleetServiceReportOriginsProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("ReportOrigins")),
+			connect.WithClientOptions(opts...),
+		),
+		findOrigin: connect.NewClient[v1.FindOriginRequest, v1.FindOriginResponse](
+			httpClient,
+			baseURL+FleetServiceFindOriginProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("FindOrigin")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -153,6 +173,8 @@
 	reportLimits  *connect.Client[v1.ReportLimitsRequest, v1.ReportLimitsResponse]
 	clearSuspects *connect.Client[v1.ClearSuspectsRequest, v1.ClearSuspectsResponse]
 	tryPart       *connect.Client[v1.TryPartRequest, v1.TryPartResponse]
+	reportOrigins *connect.Client[v1.ReportOriginsRequest, v1.ReportOriginsResponse]
+	findOrigin    *connect.Client[v1.FindOriginRequest, v1.FindOriginResponse]
 }
 
 // Join calls daisyhatch.v1.FleetService.Join.
@@ -200,6 +222,16 @@
 	return c.tryPart.CallUnary(ctx, req)
 }
 
+// ReportOrigins calls daisyhatch.v1.FleetService.ReportOrigins.
+func (c *fleetServiceClient) ReportOrigins(ctx context.Context, req *connect.Request[v1.ReportOriginsRequest]) (*connect.Response[v1.ReportOriginsResponse], error) {
+	return c.reportOrigins.CallUnary(ctx, req)
+}
+
+// FindOrigin calls daisyhatch.v1.FleetService.FindOrigin.
+func (c *fleetServiceClient) FindOrigin(ctx context.Context, req *connect.Request[v1.FindOriginRequest]) (*connect.Response[v1.FindOriginResponse], error) {
+	return c.findOrigin.CallUnary(ctx, req)
+}
+
 // FleetServiceHandler is an implementation of the daisyhatch.v1.FleetService service.
 type FleetServiceHandler interface {
 	Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error)
@@ -214,6 +246,9 @@
 	ClearSuspects(context.Context, *connect.Request[v1.ClearSuspectsRequest]) (*connect.Response[v1.ClearSuspectsResponse], error)
 	// TryPart asks for the right to send one request with a refused part.
 	TryPart(context.Context, *connect.Request[v1.TryPartRequest]) (*connect.Response[v1.TryPartResponse], error)
+	// ReportOrigins tells of streams that began at entry VMs.
+	ReportOrigins(context.Context, *connect.Request[v1.ReportOriginsRequest]) (*connect.Response[v1.ReportOriginsResponse], error)
+	FindOrigin(context.Context, *connect.Request[v1.FindOriginRequest]) (*connect.Response[v1.FindOriginResponse], error)
 }
 
 // NewFleetServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -277,6 +312,18 @@
 		connect.WithSchema(fleetServiceMethods.ByName("TryPart")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceReportOriginsHandler := connect.NewUnaryHandler(
+		FleetServiceReportOriginsProcedure,
+		svc.ReportOrigins,
+		connect.WithSchema(fleetServiceMethods.ByName("ReportOrigins")),
+		connect.WithHandlerOptions(opts...),
+	)
+	fleetServiceFindOriginHandler := connect.NewUnaryHandler(
+		FleetServiceFindOriginProcedure,
+		svc.FindOrigin,
+		connect.WithSchema(fleetServiceMethods.ByName("FindOrigin")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/daisyhatch.v1.FleetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetServiceJoinProcedure:
@@ -297,6 +344,10 @@
 			fleetServiceClearSuspectsHandler.ServeHTTP(w, r)
 		case FleetServiceTryPartProcedure:
 			fleetServiceTryPartHandler.ServeHTTP(w, r)
+		case FleetServiceReportOriginsProcedure:
+			fleetServiceReportOriginsHandler.ServeHTTP(w, r)
+		case FleetServiceFindOriginProcedure:
+			fleetServiceFindOriginHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -341,3 +392,11 @@
 func (UnimplementedFleetServiceHandler) TryPart(context.Context, *connect.Request[v1.TryPartRequest]) (*connect.Response[v1.TryPartResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("daisyhatch.v1.FleetService.TryPart is not implemented"))
 }
+
+func (UnimplementedFleetServiceHandler) ReportOrigins(context.Context, *connect.Request[v1.ReportOriginsRequest]) (*connect.Response[v1.ReportOriginsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("daisyhatch.v1.FleetService.ReportOrigins is not implemented"))
+}
+
+func (UnimplementedFleetServiceHandler) FindOrigin(context.Context, *connect.Request[v1.FindOriginRequest]) (*connect.Response[v1.FindOriginResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("daisyhatch.v1.FleetService.FindOrigin is not implemented"))
+}
--- a/pkg/daemon/fleet.go
+++ b/pkg/daemon/fleet.go
@@ -394,6 +394,7 @@
 		}),
 		Pool:        f.pool,
 		Suspects:    f.suspects,
+		Origins:     w.follower.Origins(),
 		Repeats:     allowance.NewRetryBudget(s.RetryRatio, s.RetryExtra, s.RetryWindow),
 		ColdOverrun: s.ColdOverrun, ColdExtra: s.ColdExtra, Log: k.Log().WithName("relay"),
 	})
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -83,11 +84,17 @@
 	servers map[string]*Server
 	// addressOwner maps an address to the id of the server that it belongs to: the latest incarnation announced with it.
 	addressOwner map[string]string
+	// former is when each software version of a service was last heard of from a server whose record was dropped or
+	// replaced.
+	former map[serviceVersion]time.Time
 }
 
+// serviceVersion is a software version of the servers of a service.
+type serviceVersion struct{ service, version string }
+
 // New returns an empty Directory.
 func New() *Directory {
-	return &Directory{servers: make(map[string]*Server), addressOwner: make(map[string]string)}
+	return &Directory{servers: make(map[string]*Server), addressOwner: make(map[string]string), former: make(map[serviceVersion]time.Time)}
 }
 
 // Change is the effect of a merge.
@@ -179,6 +186,9 @@
 
 // set stores a record and gives it its address, unless a later incarnation has the address.
 func (d *Directory) set(s Server) {
+	if old := d.servers[s.ID]; old != nil && (old.Service != s.Service || old.Version != s.Version) {
+		d.noteFormer(old)
+	}
 	d.servers[s.ID] = &s
 	if s.Address == "" {
 		return
@@ -189,6 +199,37 @@
 	}
 }
 
+// noteFormer remembers the version of a server whose record is dropped or replaced.
+func (d *Directory) noteFormer(s *Server) {
+	k := serviceVersion{s.Service, s.Version}
+	if s.Service != "" && s.Heard.After(d.former[k]) {
+		d.former[k] = s.Heard
+	}
+}
+
+// Versions returns the software versions of a service's servers that are in service, or were heard of since the given time,
+// sorted.
+func (d *Directory) Versions(service string, since time.Time) []string {
+	var out []string
+	add := func(version string) {
+		if !slices.Contains(out, version) {
+			out = append(out, version)
+		}
+	}
+	for _, s := range d.servers {
+		if s.Service == service && (s.State != Gone || !s.Heard.Before(since)) {
+			add(s.Version)
+		}
+	}
+	for k, at := range d.former {
+		if k.service == service && !at.Before(since) {
+			add(k.version)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Refresh records that a server was heard at the given time or later. It has no effect on servers that are gone or
 // unknown.
 func (d *Directory) Refresh(id string, heard time.Time) {
@@ -258,6 +299,7 @@
 // returns the former.
 func (d *Directory) Expire(now time.Time) []Server {
 	var silent []Server
+	maps.DeleteFunc(d.former, func(_ serviceVersion, at time.Time) bool { return now.Sub(at) > goneRetention })
 	for id, s := range d.servers {
 		retention := silentRetention
 		if s.State == Gone {
@@ -269,6 +311,7 @@
 		if s.State != Gone {
 			silent = append(silent, *s)
 		}
+		d.noteFormer(s)
 		delete(d.servers, id)
 		if d.addressOwner[s.Address] == id {
 			delete(d.addressOwner, s.Address)
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -129,3 +129,38 @@
 	old.Quiet = true
 	require.Equal(t, Stale, d.Merge(old), "an older announcement doesn't mark the server as quiet")
 }
+
+// A version counts as in service as long as a server of it may have begun a stream that is taken up again: its servers may
+// have left, crashed, or come back with another version.
+func TestVersionsInService(t *testing.T) {
+	versioned := func(id, version string, born int64) Server {
+		s := server(id, born, 1, Ready)
+		s.Version, s.Address = version, id+":1"
+		return s
+	}
+	d := New()
+	d.Merge(versioned("a", "1", 5))
+	d.Merge(versioned("b", "2", 5))
+	d.Merge(versioned("c", "3", 5))
+	d.Merge(versioned("d", "4", 5))
+	other := versioned("e", "9", 5)
+	other.Service = "other"
+	d.Merge(other)
+	require.Equal(t, []string{"1", "2", "3", "4"}, d.Versions("s", start))
+
+	at := start.Add(10 * time.Second)
+	d.Leave("b", at)
+	replaced := versioned("c", "1", 6)
+	replaced.Heard = at
+	d.Merge(replaced)
+	d.Refresh("a", at.Add(time.Minute))
+	d.Refresh("c", at.Add(time.Minute))
+	d.Refresh("e", at.Add(time.Minute))
+	require.Len(t, d.Expire(start.Add(silentRetention+time.Second)), 1, "the server of version 4 has crashed")
+	require.Equal(t, []string{"1", "2", "3", "4"}, d.Versions("s", start))
+	require.Equal(t, []string{"1", "2"}, d.Versions("s", start.Add(time.Second)))
+	require.Equal(t, []string{"1"}, d.Versions("s", at.Add(time.Second)))
+	d.Expire(start.Add(goneRetention + time.Minute))
+	d.Expire(start.Add(3 * goneRetention))
+	require.Empty(t, d.former, "versions that left long ago are forgotten")
+}
--- a/pkg/fleet/follower.go
+++ b/pkg/fleet/follower.go
@@ -77,6 +77,9 @@
 	confirmedAt time.Time
 	// limitsReported is the count of limit news up to which the control VM was told this VM's own. Only reportLimits uses it.
 	limitsReported uint64
+	// originsReported is the count of streams up to which the control VM was told where they began. Only reportOrigins uses
+	// it.
+	originsReported uint64
 	// serverIDs are the ids of the servers listed on the stream.
 	serverIDs map[string]bool
 }
@@ -93,6 +96,9 @@
 	if f.opts.PeerAddress == "" {
 		wg.Go(func() { f.reportLimits(ctx) })
 	}
+	if f.opts.Entry {
+		wg.Go(func() { f.reportOrigins(ctx) })
+	}
 	tick, expiry := time.NewTicker(streamCheckInterval), time.NewTicker(expiryInterval)
 	defer tick.Stop()
 	defer expiry.Stop()
--- a/pkg/fleet/limitreports.go
+++ b/pkg/fleet/limitreports.go
@@ -96,14 +96,7 @@
 
 // reportLimitsOnce reports what each control VM wasn't told yet, and reports whether all of them were reached.
 func (f *Follower) reportLimitsOnce(ctx context.Context) bool {
-	f.mu.Lock()
-	open := make(map[string]*followStream, len(f.streams))
-	for a, s := range f.streams {
-		if !s.openedAt.IsZero() {
-			open[a] = s
-		}
-	}
-	f.mu.Unlock()
+	open := f.openStreams()
 	ok := len(open) > 0
 	var wg sync.WaitGroup
 	failed := make(chan string, len(open))
@@ -119,6 +112,19 @@
 	return ok && len(failed) == 0
 }
 
+// openStreams returns the streams that are open, by the address of their control VM.
+func (f *Follower) openStreams() map[string]*followStream {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	open := make(map[string]*followStream, len(f.streams))
+	for a, s := range f.streams {
+		if !s.openedAt.IsZero() {
+			open[a] = s
+		}
+	}
+	return open
+}
+
 // reportLimitsTo reports to one control VM. Only one call for a stream runs at a time.
 func (f *Follower) reportLimitsTo(ctx context.Context, address string, s *followStream) error {
 	limits, count := f.opts.State.limitsSince(s.limitsReported, true)
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -49,6 +49,7 @@
 	sends  *allowance.Window
 	// limitNews is what other VMs are to be told of limits.
 	limitNews limitNews
+	origins   *originLog
 	owners    map[string]stageowner.Owner
 	// ownersSince is when this VM learned of each service's owner.
 	ownersSince map[string]time.Time
@@ -87,7 +88,7 @@
 		vm: EntryID(o.VM), formsStageCalls: o.FormsStageCalls, startedAt: time.Now(), ownersSince: make(map[string]time.Time),
 		domainsOut: make(map[string]time.Time), domainsReturned: make(map[string]time.Time), dir: directory.New(), changed: make(chan struct{}), holdoffs: holdoff.NewTracker(),
 		limits: serverlimit.NewTracker(), sends: allowance.NewWindow(serverlimit.MaxWindow), limitNews: newLimitNews(),
-		entries: newEntryTable(), owners: make(map[string]stageowner.Owner), ownersChanged: make(chan struct{}),
+		origins: newOriginLog(), entries: newEntryTable(), owners: make(map[string]stageowner.Owner), ownersChanged: make(chan struct{}),
 	}
 	for k := range s.stamps {
 		s.stamps[k] = make(map[string]uint64)
--- a/pkg/relay/limits.go
+++ b/pkg/relay/limits.go
@@ -37,7 +37,7 @@
 // startStages counts the request among those whose stages run, or refuses it and returns false.
 func (x *exchange) startStages() bool {
 	now := time.Now()
-	servers := x.relay.opts.View.Serving(x.service.Name, now)
+	servers := x.serving(now)
 	r := x.relay
 	r.mu.Lock()
 	inVain := stagesInVain(servers, r.inStages[x.service.Name], x.minStageTime(), now)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -30,6 +30,7 @@
 	"github.com/daisyhatch/daisyhatch/pkg/limiter"
 	"github.com/daisyhatch/daisyhatch/pkg/liveness"
 	"github.com/daisyhatch/daisyhatch/pkg/logsink"
+	"github.com/daisyhatch/daisyhatch/pkg/origin"
 	"github.com/daisyhatch/daisyhatch/pkg/placement"
 	"github.com/daisyhatch/daisyhatch/pkg/quarantine"
 	"github.com/daisyhatch/daisyhatch/pkg/suspect"
@@ -72,6 +73,8 @@
 	Pool          *upstream.Pool
 	// Suspects refuses requests that are suspected of crashing servers.
 	Suspects *quarantine.Tracker
+	// Origins knows which software version began a stream.
+	Origins Origins
 	// Repeats limits retries: sends of a request beyond the first.
 	Repeats *allowance.RetryBudget
 	// ColdOverrun and ColdExtra bound the requests per second that a cold server gets from all VMs: its configured rate
@@ -175,7 +178,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{relay: r, w: w, req: req, start: begin}
-	if !x.accept() || !x.admitted() {
+	if !x.accept() || !x.findOrigin() || !x.admitted() {
 		x.finish()
 		return
 	}
@@ -237,6 +240,8 @@
 	begun bool
 	// serverRun is the current or latest run of the request on a server.
 	serverRun *quarantine.Run
+	// origin is where the stream began, once that is known; nil for a stream that has not begun and for other requests.
+	origin *origin.Origin
 	// lastEventID is the id of the last event delivered.
 	lastEventID string
 	// headSent is true once the head of a streamed answer was written to the caller.
@@ -288,11 +293,15 @@
 	if !x.readBody() {
 		return false
 	}
-	x.service = x.catalog.Services[x.route.Pick(rand.Float64())]
-	x.parts = partFingerprints(x.service.Name, x.call.Prompt)
+	x.setService(x.catalog.Services[x.route.Pick(rand.Float64())])
 	return true
 }
 
+// setService sets the service that the request goes to.
+func (x *exchange) setService(s *catalog.Service) {
+	x.service, x.parts = s, partFingerprints(s.Name, x.call.Prompt)
+}
+
 // targetTime returns the time until which the answer has its full value.
 func (x *exchange) targetTime() time.Time { return x.start.Add(x.route.Target - x.waited) }
 
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -103,7 +103,7 @@
 
 func (x *exchange) giveUpNoServer() {
 	now := time.Now()
-	if !noRoomNow(x.relay.opts.View.Serving(x.service.Name, now), now) {
+	if !noRoomNow(x.serving(now), now) {
 		x.giveUp(x.retryAfterNoServer(), "no server of the service takes work now")
 		return
 	}
@@ -154,7 +154,7 @@
 func (x *exchange) sendState(res *sendResult, sends int) sendState {
 	now := time.Now()
 	untried := 0
-	for _, c := range x.relay.opts.View.Serving(x.service.Name, now) {
+	for _, c := range x.serving(now) {
 		if !slices.Contains(x.tried, c.ID) && c.Limit.HasRoom(now) {
 			untried++
 		}
@@ -175,7 +175,7 @@
 func (x *exchange) chooseServer() (fleet.Candidate, bool) {
 	now := time.Now()
 	r := x.relay
-	candidates := slices.DeleteFunc(r.opts.View.Serving(x.service.Name, now), func(c fleet.Candidate) bool {
+	candidates := slices.DeleteFunc(x.serving(now), func(c fleet.Candidate) bool {
 		return slices.Contains(x.tried, c.ID) || !c.Limit.HasRoom(now)
 	})
 	r.mu.Lock()
@@ -213,7 +213,7 @@
 func (x *exchange) preferredServerDomain() string {
 	now := time.Now()
 	r := x.relay
-	candidates := slices.DeleteFunc(r.opts.View.Serving(x.service.Name, now), func(c fleet.Candidate) bool { return !c.Limit.HasRoom(now) })
+	candidates := slices.DeleteFunc(x.serving(now), func(c fleet.Candidate) bool { return !c.Limit.HasRoom(now) })
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if ranked := r.rank(x, candidates, now); len(ranked) > 0 {
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -78,7 +78,7 @@
 			return id == "" || id == x.call.ID
 		},
 		BeforeSend: func() error {
-			if !r.opts.View.Allowed(c.ID) {
+			if !r.opts.View.Allowed(c.ID) || r.replaced(c) {
 				return errServerLeaving
 			}
 			if err := r.limiter.Check(c.Server); err != nil {
@@ -106,6 +106,12 @@
 	return res
 }
 
+// replaced reports whether another incarnation with another software version now has the server's id.
+func (r *Relay) replaced(c fleet.Candidate) bool {
+	now, known := r.opts.View.Server(c.ID)
+	return known && now.Version != c.Version
+}
+
 // enginePriority maps a request's priority to the value sent to engines, in 3 to 8. The engines' default is 5; values
 // outside this range are left for later use.
 func enginePriority(p catalog.Priority) int { return min(max(int(p), 0)+3, 8) }
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -36,6 +36,9 @@
 				x.recordAnswer(c, time.Since(res.start))
 				x.serverRun.AnswerBegun()
 				x.inputs.release()
+				if !x.headSent {
+					x.recordOrigin(c)
+				}
 			}
 			if werr := x.writeEvent(res, event, !eventBuffered(events), flusher); werr != nil {
 				res.close()
