executor: a broken stream resumes only at the software version that began it

A server that takes the text so far and goes on joins it to what another version wrote; a stock server that starts again is compared token by token, and was always safe.

TestStreamResumesOnlyAtItsVersion failed before (the stream went on at the other version, with and without a server of its own). Without one the caller gets stream_broken, at once. Servers that name no version count as one.

--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -37,6 +37,8 @@
 	ChecksFence  bool
 	Capabilities []string
 	Role         string
+	// Version is the version of the server's software; empty when it names none. Versions have no order.
+	Version string
 }
 
 // Call is one attempt to run a stage on a backend server.
--- a/pkg/executor/attempt.go
+++ b/pkg/executor/attempt.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -82,7 +83,7 @@
 		t.finish(outcome{slotErr: slotError(err)}, 0)
 		return
 	}
-	slot, err := t.r.e.opts.Slots.Acquire(t.ctx, t.slotRequest())
+	slot, err := t.acquireSlot()
 	if err != nil {
 		t.finish(outcome{slotErr: slotError(err)}, 0)
 		return
@@ -99,7 +100,7 @@
 		return
 	}
 	target := slot.Target()
-	t.r.post(func(now time.Time) []action { return t.r.m.onSlotAcquired(now, t.id, target.Server) })
+	t.r.post(func(now time.Time) []action { return t.r.m.onSlotAcquired(now, t.id, target) })
 	if !slot.Valid() || t.ctx.Err() != nil {
 		expiredSlots.Inc()
 		failure := &engine.Error{Kind: engine.Refused, Server: target.Server, Err: errSlotExpired}
@@ -222,6 +223,31 @@
 	return call
 }
 
+// acquireSlot acquires a slot. An attempt that continues a stream gets one on a server of the software version that began it,
+// or none.
+func (t *attemptRunner) acquireSlot() (dispatch.Slot, error) {
+	r := t.slotRequest()
+	for passed := 0; ; passed++ {
+		slot, err := t.r.e.opts.Slots.Acquire(t.ctx, r)
+		switch {
+		case err != nil && passed > 0:
+			return nil, errNoVersion().Wrap(err)
+		case err != nil || t.spec.resumeFrom == 0 || slot.Target().Version == t.spec.version:
+			return slot, err
+		}
+		other := slot.Target().Server
+		slot.Done(dispatch.Report{Abandoned: true})
+		if slices.Contains(r.Avoid, other) {
+			return nil, errNoVersion()
+		}
+		r.Avoid = append(slices.Clone(r.Avoid), other)
+	}
+}
+
+func errNoVersion() *apierr.Error {
+	return apierr.New(http.StatusBadGateway, apierr.StreamBroken, "the stream broke, and no server of the software version that began it has a free slot")
+}
+
 // slotRequest builds the request for a slot.
 func (t *attemptRunner) slotRequest() dispatch.SlotRequest {
 	req := t.r.req
--- a/pkg/executor/executor_test.go
+++ b/pkg/executor/executor_test.go
@@ -68,6 +68,40 @@
 	}
 }
 
+// A broken stream went on at servers of any software version, whose text doesn't fit.
+func TestStreamResumesOnlyAtItsVersion(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		versions [3]string
+		// resumedAt is the server at which the stream goes on; 0 for none.
+		resumedAt int
+	}{
+		{"another server of the version", [3]string{"old", "new", "old"}, 2},
+		{"no other server of the version", [3]string{"old", "new", "new"}, 0},
+		{"servers that name no version", [3]string{"", "", ""}, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t, standin.Options{})
+			f.addServer(t, standin.Options{Name: "c"})
+			for i, v := range tc.versions {
+				f.slots.targets[i].Version = v
+			}
+			f.servers[0].SetFault(standin.FaultTruncate, 1)
+			var sink tokenSink
+			_, err := f.run(t, f.chat(), executor.Request{Body: []byte(chatRequest), Stream: true}, sink.receive)
+			for i, s := range f.servers[1:] {
+				require.Equal(t, i+1 == tc.resumedAt, len(s.Records()) > 0, "server %d", i+1)
+			}
+			if tc.resumedAt > 0 {
+				require.NoError(t, err)
+				require.Equal(t, standin.AnswerText(question, 16), sink.text.String())
+				return
+			}
+			require.Equal(t, apierr.StreamBroken, apierr.From(err).Code)
+		})
+	}
+}
+
 func TestNonRepeatableStageIsNotRetried(t *testing.T) {
 	for _, fault := range []standin.Fault{standin.FaultCrash, standin.FaultError, standin.FaultTruncate, standin.FaultCross, standin.FaultSilent} {
 		t.Run(standin.FaultNames[fault], func(t *testing.T) {
@@ -201,11 +235,7 @@
 	f := &fixture{slots: &fakeSlots{}, ledger: newFakeLedger(), costs: cost.NewBook(), set: testSet()}
 	for _, name := range []string{"a", "b"} {
 		o.Name = name
-		s := standin.New(o)
-		require.NoError(t, s.Start())
-		t.Cleanup(s.Crash)
-		f.servers = append(f.servers, s)
-		f.slots.targets = append(f.slots.targets, s.Target())
+		f.addServer(t, o)
 	}
 	client := openai.New(openai.Options{ConnectTimeout: time.Minute})
 	t.Cleanup(client.Close)
@@ -213,6 +243,15 @@
 	return f
 }
 
+func (f *fixture) addServer(t *testing.T, o standin.Options) {
+	t.Helper()
+	s := standin.New(o)
+	require.NoError(t, s.Start())
+	t.Cleanup(s.Crash)
+	f.servers = append(f.servers, s)
+	f.slots.targets = append(f.slots.targets, s.Target())
+}
+
 func (f *fixture) forEachServer(do func(*standin.Server)) {
 	for _, s := range f.servers {
 		do(s)
--- a/pkg/executor/handover_runner.go
+++ b/pkg/executor/handover_runner.go
@@ -32,7 +32,8 @@
 
 // acquirePartner acquires a slot on a server of the other role than the one picked. ok is false when the attempt
 // must run on the picked server only: the stage must not be repeated, the request is a suspect, a hedge or a resume,
-// the server has no role or cannot transfer KV caches, or no server of the other role has spare capacity.
+// the server has no role or cannot transfer KV caches, or no server of the other role has
+// spare capacity.
 func (t *attemptRunner) acquirePartner(slot dispatch.Slot) (p slotPair, ok bool) {
 	target := slot.Target()
 	other := otherRole(target.Role)
@@ -124,7 +125,7 @@
 // runPrefill runs the prompt and exports its KV cache. It skips both if the slot has expired.
 func (h *handoverRunner) runPrefill() (o outcome, took time.Duration) {
 	target := h.prefill.Target()
-	h.r.post(func(now time.Time) []action { return h.r.m.onSlotAcquired(now, h.id, target.Server) })
+	h.r.post(func(now time.Time) []action { return h.r.m.onSlotAcquired(now, h.id, target) })
 	if !h.prefill.Valid() || h.ctx.Err() != nil {
 		expiredSlots.Inc()
 		h.prefill.Done(dispatch.Report{Abandoned: true})
@@ -160,7 +161,7 @@
 // runDecode generates the answer, using the KV cache if it was exported.
 func (h *handoverRunner) runDecode() (o outcome, took time.Duration) {
 	target := h.decode.Target()
-	h.r.post(func(now time.Time) []action { return h.r.m.onSlotAcquired(now, h.id, target.Server) })
+	h.r.post(func(now time.Time) []action { return h.r.m.onSlotAcquired(now, h.id, target) })
 	if !h.decode.Valid() || h.ctx.Err() != nil {
 		expiredSlots.Inc()
 		h.decode.Done(dispatch.Report{Abandoned: true})
--- a/pkg/executor/machine.go
+++ b/pkg/executor/machine.go
@@ -44,8 +44,10 @@
 	attempts []attempt
 	// winner is the index of the attempt whose tokens reach the caller; -1 while there is none.
 	winner int
-	// tokens holds the tokens delivered to the caller so far.
+	// tokens holds the tokens delivered to the caller so far, and version is the software version of the server that made the
+	// first one.
 	tokens       []string
+	version      string
 	finishReason string
 	usage        engine.Usage
 
@@ -133,9 +135,9 @@
 
 // onSlotAcquired records that an attempt holds a slot on a server and is about to send. An attempt that is not
 // itself a hedge schedules the stage's hedge.
-func (m *machine) onSlotAcquired(now time.Time, id int, server string) []action {
+func (m *machine) onSlotAcquired(now time.Time, id int, target engine.Target) []action {
 	a := &m.attempts[id]
-	a.server = server
+	a.server, a.version = target.Server, target.Version
 	s := &m.stages[a.stage]
 	if m.phase != phaseRunning || a.cancelled || s.done || a.hedge || s.hedged || !s.hedgeAt.IsZero() {
 		return nil
@@ -193,6 +195,9 @@
 	}
 	m.selectWinner(id)
 	a.used = true
+	if len(m.tokens) == 0 {
+		m.version = a.version
+	}
 	m.tokens = append(m.tokens, ev.Text)
 	ev.End = false
 	m.out = append(m.out, action{kind: actDeliver, event: ev})
@@ -373,6 +378,7 @@
 	if m.streamed(stage) && len(m.tokens) > 0 {
 		spec.resumeFrom = len(m.tokens)
 		spec.resumeText = strings.Join(m.tokens, "")
+		spec.version = m.version
 		m.resumed++
 	}
 	if !m.inv.Assert(m.repeatable[stage] || !m.stageSent(stage), "not-repeatable-once", "stage %d may have run", stage) {
--- a/pkg/executor/machine_test.go
+++ b/pkg/executor/machine_test.go
@@ -177,7 +177,7 @@
 	spec := o.openAttempts[id]
 	switch {
 	case kind < 4:
-		o.apply(o.m.onSlotAcquired(o.now, id, "s"+strconv.Itoa(id%3)))
+		o.apply(o.m.onSlotAcquired(o.now, id, engine.Target{Server: "s" + strconv.Itoa(id%3)}))
 	case kind < 12 && spec.streamed:
 		o.sent[id] = true
 		index := o.nextIndex[id] + rapid.SampledFrom([]int{0, 0, 0, 0, -1, 1}).Draw(o.t, "skew")
@@ -235,7 +235,7 @@
 	plan := &Plan{Name: "p", Stages: []PlanStage{{Spec: spec, Pool: &config.Pool{}}}, Steps: [][]int{{0}}}
 	m := newMachine(&Request{Plan: plan, Deadline: now.Add(time.Second)}, eagerPolicy{}, invariant.NewRecorder(logr.Discard()))
 	m.start(now, dispatch.Clear)
-	m.onSlotAcquired(now, 0, "s0")
+	m.onSlotAcquired(now, 0, engine.Target{Server: "s0"})
 	now = m.nextTimer()
 	require.True(t, m.onTimer(now)[0].spec.hedge)
 	return m, now
--- a/pkg/executor/state.go
+++ b/pkg/executor/state.go
@@ -89,6 +89,8 @@
 	// resumeFrom is the number of tokens already delivered; resumeText is their text.
 	resumeFrom int
 	resumeText string
+	// version is the software version that began the stream; set with resumeFrom.
+	version string
 	// streamed is true when the tokens go to the caller.
 	streamed bool
 }
@@ -120,6 +122,7 @@
 	stage     int
 	hedge     bool
 	server    string
+	version   string
 	cancelled bool
 	ended     bool
 	sent      bool
--- a/pkg/slots/pool.go
+++ b/pkg/slots/pool.go
@@ -186,6 +186,7 @@
 		ChecksFence:   a.ChecksFence,
 		Capabilities:  a.Capabilities,
 		Role:          a.Role,
+		Version:       a.Version,
 	}
 }
 
