executor: a KV cache is handed over only between servers of one software version

A cache that a prefill server exported was imported by any decode server.

TestNoHandoverBetweenVersions failed before (two servers ran parts of the request). While the roles of a pool run different versions, as in the middle of a release, prompts run whole at one server.

--- a/pkg/executor/handover_fault_test.go
+++ b/pkg/executor/handover_fault_test.go
@@ -182,6 +182,19 @@
 	})
 }
 
+// The KV cache of one software version was handed to a server of another one.
+func TestNoHandoverBetweenVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newHandoverBackends(handoverCase{})
+		w.versionByRole = true
+		e := executor.New(executor.Options{Slots: w, Engine: w, Log: discard()})
+		_, err := e.Run(t.Context(), handoverRequest(w, false), nil)
+		require.NoError(t, err)
+		require.Equal(t, 1, w.sentOf("q"))
+		require.Zero(t, w.kvUsed)
+	})
+}
+
 // suspectAll is a quarantine that treats every request as a suspect.
 type suspectAll struct{}
 
--- a/pkg/executor/handover_runner.go
+++ b/pkg/executor/handover_runner.go
@@ -32,7 +32,7 @@
 
 // acquirePartner acquires a slot on a server of the other role than the one picked. ok is false when the attempt
 // must run on the picked server only: the stage must not be repeated, the request is a suspect, a hedge or a resume,
-// the server has no role or cannot transfer KV caches, or no server of the other role has
+// the server has no role or cannot transfer KV caches, or no server of the other role and the same software version has
 // spare capacity.
 func (t *attemptRunner) acquirePartner(slot dispatch.Slot) (p slotPair, ok bool) {
 	target := slot.Target()
@@ -49,7 +49,7 @@
 		return slotPair{}, false
 	}
 	f := found.Target()
-	if f.Role != other || !supportsKVTransfer(f) || f.Server == target.Server {
+	if f.Role != other || !supportsKVTransfer(f) || f.Server == target.Server || f.Version != target.Version {
 		found.Done(dispatch.Report{Abandoned: true})
 		return slotPair{}, false
 	}
--- a/pkg/executor/sim_test.go
+++ b/pkg/executor/sim_test.go
@@ -70,6 +70,8 @@
 	expired int
 	// roles makes half of the servers prefill servers and the other half decode servers.
 	roles bool
+	// versionByRole makes prefill and decode servers run different software versions.
+	versionByRole bool
 	// faultFilter, if set, selects the calls that have a fault.
 	faultFilter func(t engine.Target, c engine.Call) bool
 	// kv holds the mark of the request that each KV cache belongs to, by server and attempt ID.
@@ -208,6 +210,9 @@
 	}
 	if s.w.roles {
 		t.Role = s.w.role(s.name)
+		if s.w.versionByRole {
+			t.Version = t.Role
+		}
 		t.Capabilities = []string{engine.CapabilityKV}
 	}
 	return t
