suspect: a refused part that was answered before is tried at once

What callers could see: a part in common use, as the first one of a route, is under three ends by chance in a quiet minute, when nothing is answered in between; every request of the route would be refused for 30 s.

The crash reports tell which parts were answered before. For these the first trial needs no wait, one request on one VM: its answer lets the part in, an end of its server begins the 30 s. A part that turns deadly after it was in use costs one server more for that.

TestPartThatWasAnsweredBeforeIsTriedAtOnce failed before (the trial was denied). A part that was tried is no longer taken back by late reports of the same ends.

--- a/pkg/suspect/parts.go
+++ b/pkg/suspect/parts.go
@@ -47,7 +47,7 @@
 // holds the possible causes: the requests on the server whose answers had not begun, and the parts of their prompts. An
 // answer to a prompt with a part takes all earlier crashes off the part. What then explains PartCrashes crashes or more
 // is refused, unless one request was in all of them, or another part explains more. Of parts that explain the same crashes
-// each is refused, and may be tried at once by a request that has none of the others.
+// each is refused, and may be tried at once by a request that has none of the others. So may a part that was answered before.
 type partTable struct {
 	// crashes is sorted by time.
 	crashes []*daisyhatchv1.PartCrash
@@ -73,6 +73,9 @@
 	}
 	t.extendTrials(e, nowMs)
 	for _, a := range c.GetAnswers() {
+		if _, found := slices.BinarySearch(e.GetParts(), a.GetPart()); found {
+			e.AnsweredBefore = addCause(e.AnsweredBefore, a.GetPart())
+		}
 		t.answered(a.GetPart(), at-max(a.GetAgeMs(), 0))
 	}
 	if t.mayChange(e, nowMs) {
@@ -102,9 +105,11 @@
 	return false
 }
 
-// revisable reports whether a part may be let in again because reports of the same crashes show another cause.
+// revisable reports whether a part may be let in again because reports of the same crashes show another cause. A part that
+// was tried may not.
 func (t *partTable) revisable(r *daisyhatchv1.RefusedPart, nowMs int64) bool {
-	return nowMs-r.GetSinceUnixMs() < revisionMs && r.GetRefusals() == 1 && !r.GetOnTrial()
+	tried := r.GetOnTrial() || r.GetUntilUnixMs() > r.GetSinceUnixMs()+FirstRefusalMs
+	return nowMs-r.GetSinceUnixMs() < revisionMs && !tried
 }
 
 // entry returns the record of a crash, a new one if it is not known yet.
@@ -137,10 +142,10 @@
 		if r == nil || !r.GetOnTrial() {
 			continue
 		}
-		if !r.GetAlternative() {
+		if !r.GetDoubtful() {
 			r.Refusals++
 		}
-		r.OnTrial, r.Alternative = false, false
+		r.OnTrial, r.Doubtful = false, false
 		r.Crashes++
 		r.UntilUnixMs = nowMs + refusalMs(r.GetRefusals())
 	}
@@ -164,23 +169,23 @@
 	}
 	if r := t.refused[part]; r != nil && r.GetSinceUnixMs() <= at {
 		delete(t.refused, part)
-		t.confirmLastAlternative(r)
+		t.confirmLast(r)
 	}
 }
 
-// confirmLastAlternative ends the right to an early trial of the only part that is left of those which explained the same
-// crashes as an answered one.
-func (t *partTable) confirmLastAlternative(answered *daisyhatchv1.RefusedPart) {
+// confirmLast ends the right to an early trial of the only part that is left of those which explained the same crashes as an
+// answered one.
+func (t *partTable) confirmLast(answered *daisyhatchv1.RefusedPart) {
 	var left []*daisyhatchv1.RefusedPart
 	for _, r := range t.refused {
-		if r.GetAlternative() && r.GetSinceUnixMs() == answered.GetSinceUnixMs() {
+		if r.GetDoubtful() && r.GetSinceUnixMs() == answered.GetSinceUnixMs() {
 			left = append(left, r)
 		}
 	}
-	if len(left) != 1 || !answered.GetAlternative() {
+	if len(left) != 1 || !answered.GetDoubtful() || t.answeredBefore(left[0].GetPart()) {
 		return
 	}
-	left[0].Alternative = false
+	left[0].Doubtful = false
 	if !left[0].GetOnTrial() {
 		left[0].UntilUnixMs = left[0].GetSinceUnixMs() + FirstRefusalMs
 	}
@@ -221,8 +226,8 @@
 				r = &daisyhatchv1.RefusedPart{Part: c.id, SinceUnixMs: nowMs, Refusals: 1}
 			}
 			r.Crashes = uint32(c.count)
-			r.Alternative, r.UntilUnixMs = alternatives, r.GetSinceUnixMs()
-			if !alternatives {
+			r.Doubtful, r.UntilUnixMs = alternatives || t.answeredBefore(c.id), r.GetSinceUnixMs()
+			if !r.GetDoubtful() {
 				r.UntilUnixMs += FirstRefusalMs
 			}
 			t.refused[c.id] = r
@@ -231,6 +236,11 @@
 	t.evict()
 }
 
+// answeredBefore reports whether a part was known to be answered before a crash that it may explain.
+func (t *partTable) answeredBefore(part uint64) bool {
+	return slices.ContainsFunc(t.crashes, func(e *daisyhatchv1.PartCrash) bool { return slices.Contains(e.GetAnsweredBefore(), part) })
+}
+
 // unexplained returns the crashes that no refused part explains.
 func (t *partTable) unexplained() []*daisyhatchv1.PartCrash {
 	var out []*daisyhatchv1.PartCrash
--- a/pkg/suspect/parts_test.go
+++ b/pkg/suspect/parts_test.go
@@ -214,6 +214,29 @@
 	require.True(t, try(table, deadlyPart, 3000+FirstRefusalMs))
 }
 
+// A part in common use may be refused by chance, after crashes in a quiet minute. Since it was answered before, its first trial
+// needs no wait; if it crashes its server, the wait begins.
+func TestPartThatWasAnsweredBeforeIsTriedAtOnce(t *testing.T) {
+	for _, deadly := range []bool{false, true} {
+		table := New()
+		for n := range int64(3) {
+			s := crashStep(1000*(n+1), fmt.Sprint(n), unanswered(uint64(n), routePart))
+			s.answers = []*daisyhatchv1.PartAnswer{{Part: routePart, AgeMs: 60_000 + 1000*n}}
+			s.apply(t, table)
+		}
+		require.Equal(t, []uint64{routePart}, refusedParts(table))
+		require.True(t, try(table, routePart, 3010))
+		if deadly {
+			crashStep(3200, "trial", unanswered(50, routePart)).apply(t, table)
+			require.False(t, try(table, routePart, 3200+FirstRefusalMs-1))
+			require.True(t, try(table, routePart, 3200+FirstRefusalMs))
+			continue
+		}
+		answerStep(3200, routePart).apply(t, table)
+		require.Empty(t, refusedParts(table))
+	}
+}
+
 // The evidence is bounded, whatever is reported.
 func TestEvidenceAgainstPartsIsBounded(t *testing.T) {
 	table := New()
