--- a/pkg/quarantine/in_flight.go
+++ b/pkg/quarantine/in_flight.go
@@ -32,11 +32,10 @@
 	id          uint64
 	fingerprint uint64
 	alone       bool
-	// parts are the parts of the request's prompt that others may share. began is when it was sent, and begun is true once
-	// its answer has begun; neither is tracked where parts isn't.
+	// parts are the parts of the request's prompt that others may share, and began is when it was sent; neither is tracked by
+	// a Quarantine.
 	parts []uint64
 	began time.Duration
-	begun bool
 	// known is what was known of the request's crashes when it started; nil when this isn't tracked. localCrashes is how
 	// many crashes of it were known then that were not in the replicated log yet.
 	known        *daisyhatchv1.CrashRun
@@ -80,15 +79,6 @@
 	return f.id
 }
 
-// answerBegun records that the answer to a request in flight has begun.
-func (s *inFlight) answerBegun(k serverKey, id uint64) {
-	for i := range s.byServer[k] {
-		if s.byServer[k][i].id == id {
-			s.byServer[k][i].begun = true
-		}
-	}
-}
-
 func (s *inFlight) end(k serverKey, id uint64) {
 	left := slices.DeleteFunc(s.byServer[k], func(f runningRequest) bool { return f.id == id })
 	if len(left) == 0 {
--- a/pkg/quarantine/parts_state.go
+++ b/pkg/quarantine/parts_state.go
@@ -119,8 +119,7 @@
 			accepted = append(accepted, part)
 		}
 	}
-	keepListed := func(part uint64, _ time.Duration) bool { return p.suspects[part].Suspect == nil }
-	maps.DeleteFunc(p.waits, keepListed)
+	maps.DeleteFunc(p.waits, func(part uint64, _ time.Duration) bool { return p.suspects[part].Suspect == nil })
 	maps.DeleteFunc(p.trials, func(_ uint64, t partTrial) bool { return now >= t.until })
 	slices.Sort(accepted)
 	return refused, accepted
@@ -147,9 +146,8 @@
 	return out
 }
 
-// unanswered returns the requests in flight on a server, and the request f, whose answers have not begun, with the parts of
-// their prompts. Parts that were answered since their request began are left out: they didn't crash the server that
-// answered. At most suspects.MaxCauses parts are returned, those first that were never answered.
+// unanswered returns the requests in flight on a server, and the request f, with the parts of their prompts to which no answer
+// has begun since: neither to the request itself nor to another one, here or at another server. At most suspects.MaxCauses parts are returned, those first that were never answered.
 func (m *trackerState) unanswered(k serverKey, f runningRequest) []*daisyhatchv1.UnansweredRequest {
 	requests := slices.Clone(m.byServer[k])
 	if !slices.ContainsFunc(requests, func(r runningRequest) bool { return r.id == f.id }) {
@@ -159,7 +157,7 @@
 	parts := make(map[uint64]bool)
 	for _, answeredBefore := range []bool{false, true} {
 		for _, r := range requests {
-			if r.begun || len(out) >= suspects.MaxFingerprints {
+			if len(out) >= suspects.MaxFingerprints {
 				continue
 			}
 			u := &daisyhatchv1.UnansweredRequest{Fingerprint: r.fingerprint}
--- a/pkg/quarantine/parts_test.go
+++ b/pkg/quarantine/parts_test.go
@@ -1,8 +1,10 @@
 package quarantine_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,6 +13,7 @@
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
+	daisyhatchv1 "github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1"
 	"github.com/daisyhatch/daisyhatch/pkg/quarantine"
 	suspects "github.com/daisyhatch/daisyhatch/pkg/suspect"
 )
@@ -176,6 +179,108 @@
 	require.False(t, lastDeadlyRefused, "the part is still refused %v after it became sound", soundTime)
 }
 
+// reportedParts returns the parts that a report holds against its crash.
+func reportedParts(c *daisyhatchv1.CrashCommand) []uint64 {
+	var out []uint64
+	for _, r := range c.GetUnanswered() {
+		out = append(out, r.GetParts()...)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// A report holds what may have crashed the server: not what was being answered already, nor what was answered by another
+// server since; and with a time that doesn't move while the report can't be made.
+func TestReportHoldsPossibleCauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &fakeReporter{failures: 3}
+		q := quarantine.NewTracker(quarantine.TrackerOptions{Reporter: r, Log: logr.Discard()})
+		early := q.Begin(targetOf("other", 0), 1, routePart)
+		time.Sleep(time.Second)
+		early.AnswerBegun()
+		time.Sleep(time.Second)
+		answered := q.Begin(targetOf("s", 0), 2, soundParts)
+		waiting := q.Begin(targetOf("s", 0), 3, routePart, matePart, soundParts+1)
+		elsewhere := q.Begin(targetOf("other", 0), 4, soundParts+1)
+		time.Sleep(time.Second)
+		answered.AnswerBegun()
+		elsewhere.AnswerBegun()
+		time.Sleep(time.Second)
+		began := time.Now()
+		answered.Crashed()
+		waiting.Crashed()
+		require.Eventually(t, func() bool { return len(r.sentReports()) > 0 }, time.Minute, 10*time.Millisecond)
+		c := r.sentReports()[0]
+		require.Equal(t, []uint64{routePart, matePart}, reportedParts(c))
+		require.Len(t, c.GetAnswers(), 1)
+		require.Equal(t, routePart, c.GetAnswers()[0].GetPart())
+		require.InDelta(t, 3000, c.GetAnswers()[0].GetAgeMs(), 2)
+		require.InDelta(t, time.Since(began).Milliseconds(), c.GetAgeMs(), 20)
+		require.Positive(t, c.GetAgeMs())
+		time.Sleep(suspects.SuspicionMs * time.Millisecond)
+	})
+}
+
+// A VM that has answered a suspected part tells the control VMs, when it hears of the suspicion and when it answers again.
+func TestAnswersToSuspectedPartsAreReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var told []*daisyhatchv1.PartAnswer
+		q := quarantine.NewTracker(quarantine.TrackerOptions{Reporter: &fakeReporter{}, Log: logr.Discard(),
+			Clear: func(_ context.Context, c *daisyhatchv1.ClearSuspectsCommand) error {
+				told = append(told, c.GetAnswers()...)
+				return nil
+			}})
+		time.Sleep(time.Second)
+		q.Begin(targetOf("s", 0), 1, routePart).AnswerBegun()
+		time.Sleep(time.Second)
+		list := []*daisyhatchv1.Suspect{{Fingerprint: routePart, Part: true, State: suspect, Crashes: 2}}
+		for version := range uint64(3) {
+			q.UpdateSuspects(version+1, list)
+			synctest.Wait()
+		}
+		require.Len(t, told, 1, "each answer is told once")
+		require.InDelta(t, 1000, told[0].GetAgeMs(), 2)
+		for range 5 {
+			q.Begin(targetOf("s", 0), 1, routePart).AnswerBegun()
+		}
+		synctest.Wait()
+		require.Len(t, told, 2, "answers in quick succession are told once")
+		require.InDelta(t, 0, told[1].GetAgeMs(), 2)
+	})
+}
+
+// Of the parts that explain the same crashes, each may be tried at once, but not by a request that has several of them: its
+// end would say nothing.
+func TestRequestWithSeveralRefusedPartsIsNotTriedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asked := 0
+		q := quarantine.NewTracker(quarantine.TrackerOptions{Reporter: &fakeReporter{}, Log: logr.Discard(),
+			TryPart: func(context.Context, uint64) (*daisyhatchv1.PartTrialResult, error) {
+				asked++
+				return &daisyhatchv1.PartTrialResult{Granted: true}, nil
+			}})
+		var list []*daisyhatchv1.Suspect
+		for _, part := range []uint64{matePart, crashPart} {
+			list = append(list, &daisyhatchv1.Suspect{Fingerprint: part, Part: true, State: convicted, Crashes: 3, ExpiresUnixMs: time.Now().UnixMilli()})
+		}
+		q.UpdateSuspects(1, list)
+		wait, no := q.Admit(t.Context(), 1, matePart, crashPart)
+		require.True(t, no)
+		require.Equal(t, suspects.FirstRefusalMs*time.Millisecond, wait)
+		require.Zero(t, asked)
+		_, no = q.Admit(t.Context(), 2, matePart)
+		require.False(t, no, "the trial")
+		_, no = q.Refused(2, matePart)
+		require.False(t, no, "the request on trial may be sent")
+		_, no = q.Refused(3, matePart)
+		require.True(t, no, "no other one")
+		time.Sleep(suspects.FirstRefusalMs * time.Millisecond)
+		_, no = q.Admit(t.Context(), 4, matePart, crashPart)
+		require.False(t, no)
+		require.Equal(t, 3, asked)
+	})
+}
+
 // Servers that end again and again for a reason of their own, however many, cost no part its service for long.
 func TestUnrelatedCrashesRefuseFewRequests(t *testing.T) {
 	for seed := range uint64(10) {
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -95,8 +95,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Since(t.start)
-	r.request.begun = true
-	t.state.answerBegun(serverKeyOf(r.target), r.request.id)
 	answered := make(map[uint64]time.Duration)
 	for _, part := range t.state.markAnswered(r.request.parts, now) {
 		answered[part] = now
--- a/pkg/suspect/parts.go
+++ b/pkg/suspect/parts.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math/bits"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -285,7 +286,8 @@
 	}
 	maps.DeleteFunc(byID, func(_ uint64, c *cause) bool { return c.count < minCount })
 	return slices.SortedFunc(maps.Values(byID), func(a, b *cause) int {
-		return cmp.Or(cmp.Compare(b.count, a.count), cmp.Compare(a.id, b.id))
+		more := cmp.Compare(bits.OnesCount64(b.crashes), bits.OnesCount64(a.crashes))
+		return cmp.Or(cmp.Compare(b.count, a.count), more, cmp.Compare(a.id, b.id))
 	})
 }
 
@@ -302,9 +304,6 @@
 		if slices.ContainsFunc(requests, func(r *cause) bool { return r.explains(p) }) {
 			continue
 		}
-		if slices.ContainsFunc(parts, func(o *cause) bool { return o.explains(p) && !p.explains(o) }) {
-			continue
-		}
 		for _, o := range parts {
 			if o.crashes == p.crashes {
 				found = append(found, o)
--- a/pkg/suspect/parts_test.go
+++ b/pkg/suspect/parts_test.go
@@ -98,6 +98,11 @@
 		"one part explains more than another": {
 			[]partStep{deadly(1000, 1), deadly(2000, 2, matePart), deadly(3000, 3, matePart), deadly(4000, 4, matePart)}, []uint64{deadlyPart},
 		},
+		"one part explains one more of the crashes at once": {
+			[]partStep{
+				deadly(1000, 1, matePart), deadly(1010, 2), deadly(2000, 3, matePart), deadly(3000, 4, matePart),
+			}, []uint64{deadlyPart},
+		},
 		"one request explains the crashes": {
 			[]partStep{deadly(1000, 1), deadly(2000, 1), deadly(3000, 1), deadly(4000, 1)}, nil,
 		},
