--- a/pkg/fleet/origins_test.go
+++ b/pkg/fleet/origins_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/http/httptest"
+	"runtime"
 	"strconv"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	daisyhatchv1 "github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1"
 	"github.com/daisyhatch/daisyhatch/pkg/directory"
@@ -157,3 +159,28 @@
 	require.Equal(t, daisyhatchv1.AnnouncedState(directory.Gone), w.GetState())
 	require.Equal(t, "v3", serverFromWire(w, now).Version)
 }
+
+// At the size of docs/CAPACITY.md an entry VM begins 17 streams a second, and each of two control VMs may be told of each alone.
+// That must stay far below the 14 KB/s that a VM may spend on control, and a control VM's table below its 32 MB.
+func TestOriginReportsStaySmall(t *testing.T) {
+	const streamsPerSecond, entryVMs, controlVMs, told = 17, 330, 22, 2
+	o := &daisyhatchv1.StreamOrigins{Service: "daisy-pool", Version: "v1.2", Streams: []uint64{1 << 60}}
+	size := proto.Size(&daisyhatchv1.ReportOriginsRequest{Origins: []*daisyhatchv1.StreamOrigins{o}})
+	perSecond := size * streamsPerSecond * told
+	require.Less(t, perSecond, 14_000/10)
+
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	table, now := origin.NewTable(), time.Now()
+	streams := streamsPerSecond * entryVMs * told / controlVMs * int(2*origin.MaxTakeUp/time.Second)
+	for i := range streams {
+		table.Record(uint64(i)*0x9e3779b97f4a7c15, origin.Origin{Service: "daisy-pool", Version: "v1.2"}, now)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	used := after.HeapAlloc - before.HeapAlloc
+	t.Logf("%d bytes a report, %d bytes a second from an entry VM; %d streams take %d bytes on a control VM", size, perSecond, streams, used)
+	require.Equal(t, streams, table.Len())
+	require.Less(t, used, uint64(32_000_000/4))
+}
