--- a/pkg/fleet/origins_test.go
+++ b/pkg/fleet/origins_test.go
@@ -126,7 +126,7 @@
 	}
 }
 
-// At letter size each entry VM begins some 17 streams a second. What waits for a report is bounded, and reported once.
+// What waits for a report is bounded, and reported once.
 func TestOriginLogIsBounded(t *testing.T) {
 	l, now, reported, count := newOriginLog(), time.Now(), 0, uint64(0)
 	for i := range maxOriginsKept + 5_000 {
