suspect, quarantine: the table counts all servers that ended under a request, and lines tell them

The lines named the crashes that count against a request, so that ends within one round, which count once, couldn't be told from ends that no VM saw. They name both counts now, and a line tells when an answer takes crashes off a suspected request. No decision depends on the new count.

--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -158,8 +158,8 @@
 	t.state.applyReportResult(c, res, time.Since(t.start))
 	var repeatSuspects []string
 	for _, s := range res.GetSuspects() {
-		if s.GetCrashes() >= suspects.SharedCrashes {
-			repeatSuspects = append(repeatSuspects, fmt.Sprintf("%s:%d", formatFingerprint(s.GetFingerprint()), s.GetCrashes()))
+		if s.GetEndedServers() >= suspects.SharedCrashes {
+			repeatSuspects = append(repeatSuspects, fmt.Sprintf("%s:%d/%d", formatFingerprint(s.GetFingerprint()), s.GetCrashes(), s.GetEndedServers()))
 		}
 	}
 	t.opts.Log.Info("server ended under requests", "server", c.GetServer(), "incarnation", c.GetServerIncarnation(),
@@ -170,7 +170,9 @@
 func (t *Tracker) Served(fingerprint uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	crashes := t.state.crashCount(fingerprint)
 	if t.state.markServed(fingerprint, time.Since(t.start)) {
+		t.opts.Log.Info("suspect answered", "fingerprint", formatFingerprint(fingerprint), "crashes", crashes)
 		t.shareServed([]uint64{fingerprint})
 	}
 }
--- a/pkg/suspect/suspect.go
+++ b/pkg/suspect/suspect.go
@@ -38,6 +38,8 @@
 	SuspicionMs = 10 * 60 * 1000
 	// ConvictionMs is how long a conviction lasts, in milliseconds.
 	ConvictionMs = 60 * 60 * 1000
+	// maxEndedServers is the largest number of ended servers remembered for a fingerprint.
+	maxEndedServers = 64
 	// maxNameBytes is the largest length of a server's id and of its incarnation.
 	maxNameBytes = 256
 )
@@ -71,6 +73,7 @@
 	result := &daisyhatchv1.CrashResult{Version: t.version}
 	for i, f := range c.GetFingerprints() {
 		r := t.getOrCreate(f)
+		addEndedServer(r, crash)
 		if i >= len(c.GetRuns()) || beganAfterLastCrash(r, c.GetRuns()[i]) {
 			t.countCrash(r, crash, alone, nowMs)
 		}
@@ -94,6 +97,15 @@
 	return r
 }
 
+// addEndedServer records that a server ended under a request, unless it is known.
+func addEndedServer(r *daisyhatchv1.SuspectRecord, crash uint64) {
+	if len(r.GetEndedServers()) >= maxEndedServers || slices.Contains(r.GetEndedServers(), crash) {
+		return
+	}
+	r.EndedServers = append(r.EndedServers, crash)
+	r.Suspect.EndedServers = uint32(len(r.GetEndedServers()))
+}
+
 // beganAfterLastCrash reports whether a run began when its VM knew of the last crash that counts against the
 // fingerprint: by the number of crashes, or by the version of the list of suspects.
 func beganAfterLastCrash(r *daisyhatchv1.SuspectRecord, run *daisyhatchv1.CrashRun) bool {
