--- a/pkg/quarantine/tracker_test.go
+++ b/pkg/quarantine/tracker_test.go
@@ -342,12 +342,37 @@
 func TestCrashingRequestIsRefusedAndOthersServed(t *testing.T) {
 	for seed := range uint64(20) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { checkCrashingRequest(t, seed) })
+			synctest.Test(t, func(t *testing.T) {
+				checkCrashingRequest(t, seed, func(r *rand.Rand, send func()) {
+					time.Sleep(time.Duration(50+r.IntN(400)) * time.Millisecond)
+					send()
+				})
+			})
 		})
 	}
 }
 
-func checkCrashingRequest(t *testing.T, seed uint64) {
+// The same when copies of the request come in rounds: two to four at the same moment, up to 4 s after the round before.
+func TestCopiesOfACrashingRequestAreRefusedAndOthersServed(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				checkCrashingRequest(t, seed, func(r *rand.Rand, send func()) {
+					var wg sync.WaitGroup
+					for range 2 + r.IntN(3) {
+						wg.Go(send)
+					}
+					wg.Wait()
+					time.Sleep(time.Duration(500+r.IntN(3500)) * time.Millisecond)
+				})
+			})
+		})
+	}
+}
+
+// checkCrashingRequest checks that a request which crashes its servers is refused and no other is. round sends the request once
+// or several times.
+func checkCrashingRequest(t *testing.T, seed uint64, round func(r *rand.Rand, send func())) {
 	g := &fakeControlGroup{r: rand.New(rand.NewPCG(seed, 1)), table: suspects.New()}
 	for range 6 {
 		g.trackers = append(g.trackers, quarantine.NewTracker(quarantine.TrackerOptions{Reporter: g, Clear: g.clear, Log: logr.Discard()}))
@@ -364,20 +389,31 @@
 		r := rand.New(rand.NewPCG(seed, n))
 		for time.Now().Before(endTime) {
 			time.Sleep(time.Duration(50+r.IntN(400)) * time.Millisecond)
-			p := fingerprint(r)
-			wasRefused := f.send(g.trackers[r.IntN(len(g.trackers))], r, p, time.Duration(5+r.IntN(300))*time.Millisecond, func() {
-				mu.Lock()
-				defer mu.Unlock()
-				crashTimes = append(crashTimes, time.Now())
-			})
-			if wasRefused && p != crashingFingerprint {
+			wasRefused := f.send(g.trackers[r.IntN(len(g.trackers))], r, fingerprint(r), time.Duration(5+r.IntN(300))*time.Millisecond, func() {})
+			if wasRefused {
 				mu.Lock()
 				innocentRefused++
 				mu.Unlock()
 			}
 		}
 	}
-	wg.Go(func() { sendRepeatedly(100, func(*rand.Rand) uint64 { return crashingFingerprint }) })
+	onCrashingRun := func() {
+		mu.Lock()
+		defer mu.Unlock()
+		crashTimes = append(crashTimes, time.Now())
+	}
+	wg.Go(func() {
+		r := rand.New(rand.NewPCG(seed, 100))
+		for time.Now().Before(endTime) {
+			round(r, func() {
+				mu.Lock()
+				r := rand.New(rand.NewPCG(r.Uint64(), 1))
+				mu.Unlock()
+				q := g.trackers[r.IntN(len(g.trackers))]
+				f.send(q, r, crashingFingerprint, time.Duration(5+r.IntN(300))*time.Millisecond, onCrashingRun)
+			})
+		}
+	})
 	for n := range uint64(20) {
 		wg.Go(func() { sendRepeatedly(n, func(r *rand.Rand) uint64 { return 1000 + r.Uint64N(8) }) })
 		wg.Go(func() { sendRepeatedly(50+n, func(r *rand.Rand) uint64 { return r.Uint64() | 1<<40 }) })
