suspect, quarantine, relay: a request under which two servers ended runs in one copy at a time

Cause: ends of servers within 100 ms of one another count as one crash, so that the loss of a failure domain convicts no request. Copies of a crashing request that come at the same moment, and the system's own repeats of these, end as many servers as there are sends and still count once; three crashes take three rounds, which may lie seconds apart.

Change: the table's count of all ended servers decides as well. From the second one on, the control VMs lease the run of the request to one VM at a time, for 5 s and then for twice as long each time. Other copies are refused at once with the time left. A copy that runs alone ends one server, which counts as a crash, so that two more rounds convict. Sound requests: a VM that served the request lately clears it before leases are asked for (1 s), an answer ends the lease on all VMs, and while no control VM answers, one copy at a time runs on each VM.

--- a/gen/daisyhatch/v1/daisyhatchv1connect/fleet.connect.go
+++ b/gen/daisyhatch/v1/daisyhatchv1connect/fleet.connect.go
@@ -56,6 +56,8 @@
 	FleetServiceClearSuspectsProcedure = "/daisyhatch.v1.FleetService/ClearSuspects"
 	// FleetServiceTryPartProcedure is the fully-qualified name of the FleetService's TryPart RPC.
 	FleetServiceTryPartProcedure = "/daisyhatch.v1.FleetService/TryPart"
+	// FleetServiceLeaseRunProcedure is the fully-qualified name of the FleetService's LeaseRun RPC.
+	FleetServiceLeaseRunProcedure = "/daisyhatch.v1.FleetService/LeaseRun"
 	// FleetServiceReportOriginsProcedure is the fully-qualified name of the FleetService's
 	// ReportOrigins RPC.
 	FleetServiceReportOriginsProcedure = "/daisyhatch.v1.FleetService/ReportOrigins"
@@ -77,6 +79,8 @@
 	ClearSuspects(context.Context, *connect.Request[v1.ClearSuspectsRequest]) (*connect.Response[v1.ClearSuspectsResponse], error)
 	// TryPart asks for the right to send one request with a refused part.
 	TryPart(context.Context, *connect.Request[v1.TryPartRequest]) (*connect.Response[v1.TryPartResponse], error)
+	// LeaseRun asks for the right to send a request of which one copy at a time may run.
+	LeaseRun(context.Context, *connect.Request[v1.LeaseRunRequest]) (*connect.Response[v1.LeaseRunResponse], error)
 	// ReportOrigins tells of streams that began at entry VMs.
 	ReportOrigins(context.Context, *connect.Request[v1.ReportOriginsRequest]) (*connect.Response[v1.ReportOriginsResponse], error)
 	FindOrigin(context.Context, *connect.Request[v1.FindOriginRequest]) (*connect.Response[v1.FindOriginResponse], error)
@@ -147,6 +151,12 @@
 			connect.WithSchema(fleetServiceMethods.ByName("TryPart")),
 			connect.WithClientOptions(opts...),
 		),
+		leaseRun: connect.NewClient[v1.LeaseRunRequest, v1.LeaseRunResponse](
+			httpClient,
+			baseURL+FleetServiceLeaseRunProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("LeaseRun")),
+			connect.WithClientOptions(opts...),
+		),
 		reportOrigins: connect.NewClient[v1.ReportOriginsRequest, v1.ReportOriginsResponse](
 			httpClient,
 			baseURL+FleetServiceReportOriginsProcedure,
@@ -173,6 +183,7 @@
 	reportLimits  *connect.Client[v1.ReportLimitsRequest, v1.ReportLimitsResponse]
 	clearSuspects *connect.Client[v1.ClearSuspectsRequest, v1.ClearSuspectsResponse]
 	tryPart       *connect.Client[v1.TryPartRequest, v1.TryPartResponse]
+	leaseRun      *connect.Client[v1.LeaseRunRequest, v1.LeaseRunResponse]
 	reportOrigins *connect.Client[v1.ReportOriginsRequest, v1.ReportOriginsResponse]
 	findOrigin    *connect.Client[v1.FindOriginRequest, v1.FindOriginResponse]
 }
@@ -222,6 +233,11 @@
 	return c.tryPart.CallUnary(ctx, req)
 }
 
+// LeaseRun calls daisyhatch.v1.FleetService.LeaseRun.
+func (c *fleetServiceClient) LeaseRun(ctx context.Context, req *connect.Request[v1.LeaseRunRequest]) (*connect.Response[v1.LeaseRunResponse], error) {
+	return c.leaseRun.CallUnary(ctx, req)
+}
+
 // ReportOrigins calls daisyhatch.v1.FleetService.ReportOrigins.
 func (c *fleetServiceClient) ReportOrigins(ctx context.Context, req *connect.Request[v1.ReportOriginsRequest]) (*connect.Response[v1.ReportOriginsResponse], error) {
 	return c.reportOrigins.CallUnary(ctx, req)
@@ -246,6 +262,8 @@
 	ClearSuspects(context.Context, *connect.Request[v1.ClearSuspectsRequest]) (*connect.Response[v1.ClearSuspectsResponse], error)
 	// TryPart asks for the right to send one request with a refused part.
 	TryPart(context.Context, *connect.Request[v1.TryPartRequest]) (*connect.Response[v1.TryPartResponse], error)
+	// LeaseRun asks for the right to send a request of which one copy at a time may run.
+	LeaseRun(context.Context, *connect.Request[v1.LeaseRunRequest]) (*connect.Response[v1.LeaseRunResponse], error)
 	// ReportOrigins tells of streams that began at entry VMs.
 	ReportOrigins(context.Context, *connect.Request[v1.ReportOriginsRequest]) (*connect.Response[v1.ReportOriginsResponse], error)
 	FindOrigin(context.Context, *connect.Request[v1.FindOriginRequest]) (*connect.Response[v1.FindOriginResponse], error)
@@ -312,6 +330,12 @@
 		connect.WithSchema(fleetServiceMethods.ByName("TryPart")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceLeaseRunHandler := connect.NewUnaryHandler(
+		FleetServiceLeaseRunProcedure,
+		svc.LeaseRun,
+		connect.WithSchema(fleetServiceMethods.ByName("LeaseRun")),
+		connect.WithHandlerOptions(opts...),
+	)
 	fleetServiceReportOriginsHandler := connect.NewUnaryHandler(
 		FleetServiceReportOriginsProcedure,
 		svc.ReportOrigins,
@@ -344,6 +368,8 @@
 			fleetServiceClearSuspectsHandler.ServeHTTP(w, r)
 		case FleetServiceTryPartProcedure:
 			fleetServiceTryPartHandler.ServeHTTP(w, r)
+		case FleetServiceLeaseRunProcedure:
+			fleetServiceLeaseRunHandler.ServeHTTP(w, r)
 		case FleetServiceReportOriginsProcedure:
 			fleetServiceReportOriginsHandler.ServeHTTP(w, r)
 		case FleetServiceFindOriginProcedure:
@@ -393,6 +419,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("daisyhatch.v1.FleetService.TryPart is not implemented"))
 }
 
+func (UnimplementedFleetServiceHandler) LeaseRun(context.Context, *connect.Request[v1.LeaseRunRequest]) (*connect.Response[v1.LeaseRunResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("daisyhatch.v1.FleetService.LeaseRun is not implemented"))
+}
+
 func (UnimplementedFleetServiceHandler) ReportOrigins(context.Context, *connect.Request[v1.ReportOriginsRequest]) (*connect.Response[v1.ReportOriginsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("daisyhatch.v1.FleetService.ReportOrigins is not implemented"))
 }
--- a/pkg/daemon/fleet.go
+++ b/pkg/daemon/fleet.go
@@ -76,7 +76,7 @@
 // provideSuspects makes what keeps requests under which servers ended from being sent on.
 func (f *fleetShared) provideSuspects(k *kernel.Kernel, client *http.Client) *fleet.SuspectsReporter {
 	r := fleet.NewSuspectsReporter(f.roster, client)
-	f.suspects = quarantine.NewTracker(quarantine.TrackerOptions{Reporter: r, Clear: r.Clear, TryPart: r.TryPart, Log: k.Log().WithName("suspects")})
+	f.suspects = quarantine.NewTracker(quarantine.TrackerOptions{Reporter: r, Clear: r.Clear, TryPart: r.TryPart, LeaseRun: r.LeaseRun, Log: k.Log().WithName("suspects")})
 	return r
 }
 
--- a/pkg/fleet/suspects.go
+++ b/pkg/fleet/suspects.go
@@ -18,11 +18,11 @@
 // errNoCrash means that a ReportCrash request carries no crash.
 var errNoCrash = errors.New("fleet: request carries no crash")
 
-// sharedSuspects returns the suspects with enough crashes to be sent to all VMs.
+// sharedSuspects returns the suspects that all VMs must know of.
 func sharedSuspects(all []*daisyhatchv1.Suspect) []*daisyhatchv1.Suspect {
 	var out []*daisyhatchv1.Suspect
 	for _, s := range all {
-		if s.GetCrashes() >= suspect.SharedCrashes {
+		if suspect.IsShared(s) {
 			out = append(out, s)
 		}
 	}
@@ -34,7 +34,8 @@
 	if a.GetPart() && a.GetExpiresUnixMs() != b.GetExpiresUnixMs() {
 		return false
 	}
-	return a.GetFingerprint() == b.GetFingerprint() && a.GetState() == b.GetState() && a.GetCrashes() == b.GetCrashes()
+	return a.GetFingerprint() == b.GetFingerprint() && a.GetState() == b.GetState() && a.GetCrashes() == b.GetCrashes() &&
+		suspect.IsLeased(a) == suspect.IsLeased(b)
 }
 
 // ReportCrash implements FleetService and quarantine.CrashClient.
@@ -74,6 +75,17 @@
 	return connect.NewResponse(&daisyhatchv1.TryPartResponse{Result: r.GetPartTrial()}), nil
 }
 
+// LeaseRun implements FleetService.
+func (c *Control) LeaseRun(
+	ctx context.Context, req *connect.Request[daisyhatchv1.LeaseRunRequest],
+) (*connect.Response[daisyhatchv1.LeaseRunResponse], error) {
+	r, err := c.proposeUnchecked(ctx, &daisyhatchv1.Command{Body: &daisyhatchv1.Command_RunLease{RunLease: req.Msg.GetLease()}})
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&daisyhatchv1.LeaseRunResponse{Result: r.GetRunLease()}), nil
+}
+
 // clearTimeout limits the call that tells one control VM of served suspects.
 const clearTimeout = 500 * time.Millisecond
 
@@ -107,6 +119,7 @@
 	quarantine.CrashClient
 	ClearSuspects(context.Context, *connect.Request[daisyhatchv1.ClearSuspectsRequest]) (*connect.Response[daisyhatchv1.ClearSuspectsResponse], error)
 	TryPart(context.Context, *connect.Request[daisyhatchv1.TryPartRequest]) (*connect.Response[daisyhatchv1.TryPartResponse], error)
+	LeaseRun(context.Context, *connect.Request[daisyhatchv1.LeaseRunRequest]) (*connect.Response[daisyhatchv1.LeaseRunResponse], error)
 }
 
 func (s *SuspectsReporter) clients() []suspectsClient {
@@ -146,3 +159,17 @@
 	}
 	return nil, fmt.Errorf("fleet: try part: %w", err)
 }
+
+// LeaseRun asks the control VMs, one after the other until one answers, for the right to send a request of which one copy at
+// a time may run.
+func (s *SuspectsReporter) LeaseRun(ctx context.Context, fingerprint uint64) (*daisyhatchv1.RunLeaseResult, error) {
+	err := error(quarantine.ErrNoControl)
+	for _, c := range s.clients() {
+		req := &daisyhatchv1.LeaseRunRequest{Lease: &daisyhatchv1.RunLeaseCommand{Fingerprint: fingerprint}}
+		var res *connect.Response[daisyhatchv1.LeaseRunResponse]
+		if res, err = c.LeaseRun(ctx, connect.NewRequest(req)); err == nil {
+			return res.Msg.GetResult(), nil
+		}
+	}
+	return nil, fmt.Errorf("fleet: lease run: %w", err)
+}
--- a/pkg/fsm/fsm.go
+++ b/pkg/fsm/fsm.go
@@ -131,6 +131,8 @@
 		return &daisyhatchv1.Result{Body: &daisyhatchv1.Result_ClearSuspects{ClearSuspects: r}}
 	case *daisyhatchv1.Command_PartTrial:
 		return &daisyhatchv1.Result{Body: &daisyhatchv1.Result_PartTrial{PartTrial: m.suspects.TryPart(b.PartTrial, proposedAt)}}
+	case *daisyhatchv1.Command_RunLease:
+		return &daisyhatchv1.Result{Body: &daisyhatchv1.Result_RunLease{RunLease: m.suspects.LeaseRun(b.RunLease, proposedAt)}}
 	case *daisyhatchv1.Command_Order:
 		o, err := m.orders.Submit(b.Order, index, now)
 		return orFailed(&daisyhatchv1.Result{Body: &daisyhatchv1.Result_Order{Order: &daisyhatchv1.OrderResult{Order: o}}}, err)
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -36,6 +36,7 @@
 	reportsDropped  = metrics.NewCounter("daisyhatch_quarantine_reports_dropped_total")
 	partsRefused    = metrics.NewCounter("daisyhatch_quarantine_parts_refused_total")
 	partTrials      = metrics.NewCounter("daisyhatch_quarantine_part_trials_total")
+	runLeases       = metrics.NewCounter("daisyhatch_quarantine_run_leases_total")
 )
 
 // TrackerOptions are the dependencies of a Tracker.
@@ -46,13 +47,17 @@
 	Clear func(ctx context.Context, c *daisyhatchv1.ClearSuspectsCommand) error
 	// TryPart asks the control VMs for the trial of a refused part; it must be set when Reporter is.
 	TryPart func(ctx context.Context, part uint64) (*daisyhatchv1.PartTrialResult, error)
-	Log     logr.Logger
+	// LeaseRun asks the control VMs for the right to send a request of which one copy at a time may run; it must be set when
+	// Reporter is.
+	LeaseRun func(ctx context.Context, fingerprint uint64) (*daisyhatchv1.RunLeaseResult, error)
+	Log      logr.Logger
 }
 
 // Tracker refuses requests under which servers ended one after the other. Unlike a Quarantine it delays no request: the
 // first retry starts at once, and from the third crash on the request is refused on all VMs. A crash doesn't count
-// against a request that was served lately, and servers that end at about the same time count as one crash. It also refuses
-// requests whose prompts have a part that explains the crashes under requests which are not alike; one request is let
+// against a request that was served lately, and servers that end at about the same time count as one crash. Once
+// suspect.LeasedEnds servers have ended under a request, however close together, one copy of it runs at a time on all VMs. A
+// Tracker also refuses requests whose prompts have a part that explains the crashes under requests which are not alike; one request is let
 // through from time to time to find out whether the part still crashes servers. It is safe for concurrent use.
 type Tracker struct {
 	opts  TrackerOptions
@@ -120,6 +125,7 @@
 		at = r.ended
 	}
 	t.state.endTrials(r.request)
+	delete(t.state.leases, r.request.fingerprint)
 	c, err := t.state.serverCrashed(r.target, r.request, at, time.Since(t.start))
 	if err != nil {
 		t.opts.Log.Error(err, "crash can't be counted", "server", r.target.Server, "incarnation", r.target.Incarnation)
--- a/pkg/quarantine/tracker_state.go
+++ b/pkg/quarantine/tracker_state.go
@@ -48,6 +48,8 @@
 	lastServed  map[uint64]time.Duration
 	servedOrder []uint64
 	parts       partsState
+	// leases holds this VM's right to send a request of which one copy at a time may run, by fingerprint.
+	leases map[uint64]*RunLease
 }
 
 // sharedSuspect is a suspect of the replicated log.
@@ -57,6 +59,8 @@
 	version uint64
 	// learnedAt is when this VM received it.
 	learnedAt time.Duration
+	// leasedSince is when this VM learned that one copy at a time may run.
+	leasedSince time.Duration
 }
 
 // listVersion is the version of a list of suspects and when it was received.
@@ -68,7 +72,7 @@
 func newTrackerState() trackerState {
 	return trackerState{
 		inFlight: newInFlight(), local: suspects.New(), shared: make(map[uint64]sharedSuspect), lastServed: make(map[uint64]time.Duration),
-		lastCounted: make(map[uint64]time.Duration), parts: newPartsState(),
+		lastCounted: make(map[uint64]time.Duration), parts: newPartsState(), leases: make(map[uint64]*RunLease),
 	}
 }
 
@@ -187,14 +191,18 @@
 	m.local.ForgetParts(c)
 	for _, s := range r.GetSuspects() {
 		if r.GetVersion() > m.version {
-			m.addShared(s, r.GetVersion(), before[s.GetFingerprint()], now)
+			m.addShared(s, m.shared[s.GetFingerprint()], r.GetVersion(), before[s.GetFingerprint()], now)
 		}
 	}
 }
 
-// addShared stores a suspect of the replicated log; before is how many of its crashes were known until now.
-func (m *trackerState) addShared(s *daisyhatchv1.Suspect, version uint64, before int, now time.Duration) {
-	m.shared[s.GetFingerprint()] = sharedSuspect{s, version, now}
+// addShared stores a suspect of the replicated log. old is what was known of it until now, before how many of its crashes.
+func (m *trackerState) addShared(s *daisyhatchv1.Suspect, old sharedSuspect, version uint64, before int, now time.Duration) {
+	leasedSince := now
+	if suspects.IsLeased(old.Suspect) {
+		leasedSince = old.leasedSince
+	}
+	m.shared[s.GetFingerprint()] = sharedSuspect{s, version, now, leasedSince}
 	if int(s.GetCrashes()) > before {
 		m.noteCounted(s.GetFingerprint(), now)
 	}
@@ -221,10 +229,10 @@
 	m.recentLists = append(m.recentLists, listVersion{version, now})
 	n.refusedParts, n.acceptedParts = m.parts.applyList(list, now)
 	n.answered = m.parts.takeUnreportedAnswers(now)
-	previousStates, previousCrashes := make(map[uint64]daisyhatchv1.SuspectState), make(map[uint64]int)
+	previous, previousCrashes := make(map[uint64]sharedSuspect), make(map[uint64]int)
 	for f, s := range m.shared {
 		if s.version <= version {
-			previousStates[f], previousCrashes[f] = s.GetState(), m.crashCount(f)
+			previous[f], previousCrashes[f] = s, m.crashCount(f)
 			delete(m.shared, f)
 		}
 	}
@@ -237,13 +245,13 @@
 			n.served = append(n.served, f)
 			continue
 		}
-		m.addShared(s, version, previousCrashes[f], now)
-		if s.GetState() == daisyhatchv1.SuspectState_SUSPECT_STATE_CONVICTED && previousStates[f] != s.GetState() {
+		m.addShared(s, previous[f], version, previousCrashes[f], now)
+		if isRefused(s) && !isRefused(previous[f].Suspect) {
 			n.convicted = append(n.convicted, f)
 		}
 	}
-	for f, state := range previousStates {
-		if m.shared[f].Suspect == nil && state == daisyhatchv1.SuspectState_SUSPECT_STATE_CONVICTED {
+	for f, s := range previous {
+		if m.shared[f].Suspect == nil && isRefused(s.Suspect) {
 			n.cleared = append(n.cleared, f)
 		}
 	}
@@ -267,7 +275,7 @@
 			m.servedOrder = slices.Delete(m.servedOrder, 0, 1)
 		}
 	}
-	return s.GetCrashes() >= suspects.SharedCrashes
+	return suspects.IsShared(s.Suspect)
 }
 
 func (m *trackerState) dropServed(fingerprint uint64) {
--- a/pkg/quarantine/tracker_test.go
+++ b/pkg/quarantine/tracker_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	daisyhatchv1 "github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1"
 	"github.com/daisyhatch/daisyhatch/pkg/engine"
@@ -167,6 +168,22 @@
 	})
 }
 
+// A lease is for one run that ends its server: the repeat of the same attempt needs another one.
+func TestLeaseEndsWithItsServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := quarantine.NewTracker(quarantine.TrackerOptions{Log: logr.Discard()})
+		q.UpdateSuspects(1, []*daisyhatchv1.Suspect{{Fingerprint: 1, State: daisyhatchv1.SuspectState_SUSPECT_STATE_SUSPECT, Crashes: 1, EndedServers: 2}})
+		require.True(t, q.MayRun(1, nil), "other VMs may still clear the request")
+		time.Sleep(time.Second)
+		require.False(t, q.MayRun(1, nil))
+		lease, _, ok := q.LeaseRun(t.Context(), 1)
+		require.True(t, ok)
+		require.True(t, q.MayRun(1, lease))
+		runAndCrash(q, 1, targetOf("s", 1))
+		require.False(t, q.MayRun(1, lease))
+	})
+}
+
 // Memory must stay bounded when many servers end under many different requests.
 func TestTrackerSizeIsBounded(t *testing.T) {
 	q := quarantine.NewTracker(quarantine.TrackerOptions{Log: logr.Discard()})
@@ -228,6 +245,16 @@
 	return r, nil
 }
 
+func (g *fakeControlGroup) leaseRun(_ context.Context, fingerprint uint64) (*daisyhatchv1.RunLeaseResult, error) {
+	time.Sleep(g.randomDelay(40))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.leaderless {
+		return nil, errNoLeader
+	}
+	return g.table.LeaseRun(&daisyhatchv1.RunLeaseCommand{Fingerprint: fingerprint}, time.Now().UnixMilli()), nil
+}
+
 // randomDelay returns a random duration of 1 to maxMs milliseconds.
 func (g *fakeControlGroup) randomDelay(maxMs int) time.Duration {
 	g.mu.Lock()
@@ -240,10 +267,8 @@
 	version := g.table.Version()
 	list := g.table.Parts()
 	for _, r := range g.table.Records() {
-		if s := r.GetSuspect(); s.GetCrashes() >= suspects.SharedCrashes {
-			list = append(list, &daisyhatchv1.Suspect{
-				Fingerprint: s.GetFingerprint(), State: s.GetState(), Crashes: s.GetCrashes(), ExpiresUnixMs: s.GetExpiresUnixMs(),
-			})
+		if s := r.GetSuspect(); suspects.IsShared(s) {
+			list = append(list, proto.CloneOf(s))
 		}
 	}
 	for _, q := range g.trackers {
@@ -306,10 +331,17 @@
 
 // send runs a request as an entry VM does, on two servers at most. It reports whether the request was refused.
 func (f *serverPool) send(q *quarantine.Tracker, r *rand.Rand, fingerprint uint64, duration time.Duration, onCrashingRun func()) (wasRefused bool) {
+	var lease *quarantine.RunLease
 	for range 2 {
 		if refused(q, fingerprint) {
 			return true
 		}
+		if !q.MayRun(fingerprint, lease) {
+			var ok bool
+			if lease, _, ok = q.LeaseRun(context.Background(), fingerprint); !ok {
+				return true
+			}
+		}
 		n, incarnation, crashed, ok := f.pick(r)
 		if !ok {
 			return false
@@ -375,7 +407,7 @@
 func checkCrashingRequest(t *testing.T, seed uint64, round func(r *rand.Rand, send func())) {
 	g := &fakeControlGroup{r: rand.New(rand.NewPCG(seed, 1)), table: suspects.New()}
 	for range 6 {
-		g.trackers = append(g.trackers, quarantine.NewTracker(quarantine.TrackerOptions{Reporter: g, Clear: g.clear, Log: logr.Discard()}))
+		g.trackers = append(g.trackers, quarantine.NewTracker(quarantine.TrackerOptions{Reporter: g, Clear: g.clear, LeaseRun: g.leaseRun, Log: logr.Discard()}))
 	}
 	f := newServerPool()
 	var (
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -240,6 +240,8 @@
 	begun bool
 	// serverRun is the current or latest run of the request on a server.
 	serverRun *quarantine.Run
+	// runLease is the right to send the request while one copy of it at a time may run; nil when it needed none.
+	runLease *quarantine.RunLease
 	// origin is where the stream began, once that is known; nil for a stream that has not begun and for other requests.
 	origin *origin.Origin
 	// lastEventID is the id of the last event delivered.
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -123,12 +123,28 @@
 // admitted reports whether the request may run as far as crashes of servers are concerned; if not, it ends the request.
 func (x *exchange) admitted() bool {
 	retryAfter, refused := x.relay.opts.Suspects.Admit(x.req.Context(), x.fingerprint, x.parts...)
-	return !x.endSuspect(retryAfter, refused)
+	return !x.endSuspect(retryAfter, refused) && x.leaseRun()
 }
 
 // refusedAsSuspect reports whether the request has become suspected of crashing servers; if so, it ends the request.
 func (x *exchange) refusedAsSuspect() bool {
-	return x.endSuspect(x.relay.opts.Suspects.Refused(x.fingerprint, x.parts...))
+	return x.endSuspect(x.relay.opts.Suspects.Refused(x.fingerprint, x.parts...)) || !x.leaseRun()
+}
+
+// leaseRun gets the right to send the request if one copy of it at a time may run. It ends the request and returns false when
+// another copy has it.
+func (x *exchange) leaseRun() bool {
+	if x.relay.opts.Suspects.MayRun(x.fingerprint, x.runLease) {
+		return true
+	}
+	lease, wait, ok := x.relay.opts.Suspects.LeaseRun(x.req.Context(), x.fingerprint)
+	if !ok {
+		metrics.GetOrCreateCounter("daisyhatch_relay_copies_refused_total").Inc()
+		x.giveUp(wait, "servers ended under copies of this request, and another copy runs")
+		return false
+	}
+	x.runLease = lease
+	return true
 }
 
 func (x *exchange) endSuspect(retryAfter time.Duration, refused bool) bool {
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -84,7 +84,7 @@
 			if err := r.limiter.Check(c.Server); err != nil {
 				return err
 			}
-			if _, refused := r.opts.Suspects.Refused(x.fingerprint, x.parts...); refused {
+			if _, refused := r.opts.Suspects.Refused(x.fingerprint, x.parts...); refused || !r.opts.Suspects.MayRun(x.fingerprint, x.runLease) {
 				return errRequestSuspect
 			}
 			return nil
--- a/pkg/suspect/suspect.go
+++ b/pkg/suspect/suspect.go
@@ -34,6 +34,15 @@
 	// SharedCrashes is the number of crashes from which all VMs must know of a fingerprint. One crash is not enough, since
 	// most requests that were in flight on a crashed server succeed at their next attempt.
 	SharedCrashes = 2
+	// LeasedEnds is the number of ended servers from which a request runs in one copy at a time on all VMs. Copies that run at
+	// the same moment may end any number of servers, which count as one crash.
+	LeasedEnds = 2
+	// RunLeaseMs is how long no other copy of a request may be sent after the first lease, in milliseconds. Each further lease
+	// lasts twice as long, until a crash is counted or the request is served: a run that ends its server unseen repeats less
+	// and less often.
+	RunLeaseMs = 5 * 1000
+	// maxLeaseDoublings bounds the length of a lease to 64 times RunLeaseMs.
+	maxLeaseDoublings = 6
 	// SuspicionMs is how long a suspicion lasts after the last crash, in milliseconds.
 	SuspicionMs = 10 * 60 * 1000
 	// ConvictionMs is how long a conviction lasts, in milliseconds.
@@ -119,6 +128,7 @@
 	}
 	r.Crashes = append(r.Crashes, crash)
 	r.Version = t.version
+	r.Leases = 0
 	s.Crashes++
 	if (alone && s.GetCrashes() > 1) || s.GetCrashes() >= MaxCrashes {
 		s.State = daisyhatchv1.SuspectState_SUSPECT_STATE_CONVICTED
@@ -129,6 +139,37 @@
 	s.ExpiresUnixMs = nowMs + SuspicionMs
 }
 
+// IsLeased reports whether one copy of a request at a time may run on all VMs.
+func IsLeased(s *daisyhatchv1.Suspect) bool {
+	return !s.GetPart() && s.GetEndedServers() >= LeasedEnds && s.GetState() != daisyhatchv1.SuspectState_SUSPECT_STATE_CONVICTED
+}
+
+// IsShared reports whether all VMs must know of a suspect.
+func IsShared(s *daisyhatchv1.Suspect) bool { return s.GetCrashes() >= SharedCrashes || IsLeased(s) }
+
+// LeaseRun grants a VM the right to send a request, or returns the time until it may ask again. A request that is not
+// leased is always granted, a convicted one never. timeMs is the time at which the command was proposed, in Unix
+// milliseconds.
+func (t *Table) LeaseRun(c *daisyhatchv1.RunLeaseCommand, timeMs int64) *daisyhatchv1.RunLeaseResult {
+	r := t.records[c.GetFingerprint()]
+	if r.GetSuspect().GetState() == daisyhatchv1.SuspectState_SUSPECT_STATE_CONVICTED {
+		return &daisyhatchv1.RunLeaseResult{WaitMs: max(r.GetSuspect().GetExpiresUnixMs()-timeMs, 1)}
+	}
+	if !IsLeased(r.GetSuspect()) {
+		return &daisyhatchv1.RunLeaseResult{Granted: true}
+	}
+	// A longer time than a lease lasts shows that a proposer's clock was wrong.
+	if left := r.GetLeasedUntilUnixMs() - timeMs; left > 0 && left <= leaseMs(r.GetLeases()) {
+		return &daisyhatchv1.RunLeaseResult{WaitMs: left}
+	}
+	r.Leases++
+	r.LeasedUntilUnixMs = timeMs + leaseMs(r.GetLeases())
+	return &daisyhatchv1.RunLeaseResult{Granted: true}
+}
+
+// leaseMs returns how long the nth lease in a row lasts, in milliseconds.
+func leaseMs(n uint32) int64 { return RunLeaseMs << min(max(n, 1)-1, maxLeaseDoublings) }
+
 // Clear drops the suspicion or conviction of fingerprints whose requests succeeded, and returns the table's version.
 func (t *Table) Clear(fingerprints []uint64) uint64 {
 	t.version++
--- a/pkg/suspect/suspect_test.go
+++ b/pkg/suspect/suspect_test.go
@@ -159,3 +159,72 @@
 	table.Expire(1 + SuspicionMs)
 	requireGrown("expiry")
 }
+
+// crashTogether reports the ends of servers under one request that ran on all of them at the same moment.
+func crashTogether(t *testing.T, table *Table, fingerprint uint64, servers ...string) *daisyhatchv1.Suspect {
+	t.Helper()
+	for _, s := range servers {
+		_, err := table.Crash(&daisyhatchv1.CrashCommand{Server: s, Fingerprints: []uint64{fingerprint}, Runs: []*daisyhatchv1.CrashRun{{}}}, 1)
+		require.NoError(t, err)
+	}
+	return table.Get(fingerprint)
+}
+
+// Copies of a request that end their servers at the same moment count as one crash, but from the second ended server on one
+// copy runs at a time, for longer each time, also after a restore.
+func TestRequestWithEndedServersRunsInOneCopy(t *testing.T) {
+	const start = int64(1_000_000)
+	lease := &daisyhatchv1.RunLeaseCommand{Fingerprint: 1}
+	table := New()
+	require.False(t, IsLeased(crashTogether(t, table, 1, "a")))
+	require.True(t, table.LeaseRun(lease, start).GetGranted(), "one end is mostly chance")
+	require.True(t, table.LeaseRun(lease, start).GetGranted())
+	s := crashTogether(t, table, 1, "a", "b", "c")
+	require.EqualValues(t, 1, s.GetCrashes())
+	require.EqualValues(t, 3, s.GetEndedServers())
+	require.True(t, IsLeased(s))
+	require.True(t, IsShared(s))
+	now := start
+	for range 3 {
+		length := leaseMs(table.records[1].GetLeases() + 1)
+		require.True(t, table.LeaseRun(lease, now).GetGranted())
+		table = restored(t, table)
+		require.Equal(t, length-1, table.LeaseRun(lease, now+1).GetWaitMs())
+		require.False(t, table.LeaseRun(lease, now+length-1).GetGranted())
+		now += length
+	}
+	require.Equal(t, start+7*RunLeaseMs, now)
+	require.True(t, table.LeaseRun(lease, start-ConvictionMs).GetGranted(), "a lease far in the future is that of a wrong clock")
+	table.Clear([]uint64{1})
+	require.True(t, table.LeaseRun(lease, now).GetGranted())
+	require.True(t, table.LeaseRun(lease, now).GetGranted())
+}
+
+// A convicted request runs in no copy, and a counted crash makes the next lease as short as the first.
+func TestLeaseAfterCrashes(t *testing.T) {
+	table := New()
+	lease := &daisyhatchv1.RunLeaseCommand{Fingerprint: 1}
+	crashTogether(t, table, 1, "a", "b")
+	require.True(t, table.LeaseRun(lease, 1).GetGranted())
+	require.True(t, table.LeaseRun(lease, 1+RunLeaseMs).GetGranted())
+	for i, server := range []string{"c", "d"} {
+		run := []*daisyhatchv1.CrashRun{{KnownCrashes: uint32(i + 1)}}
+		_, err := table.Crash(&daisyhatchv1.CrashCommand{Server: server, Fingerprints: []uint64{1}, Runs: run}, 1)
+		require.NoError(t, err)
+		require.Zero(t, table.records[1].GetLeases())
+	}
+	require.Equal(t, convicted, table.Get(1).GetState())
+	require.False(t, IsLeased(table.Get(1)))
+	r := table.LeaseRun(lease, 1)
+	require.False(t, r.GetGranted())
+	require.EqualValues(t, ConvictionMs, r.GetWaitMs())
+}
+
+// restored returns a table made from a snapshot of another.
+func restored(t *testing.T, table *Table) *Table {
+	t.Helper()
+	s := &daisyhatchv1.MachineSnapshot{Suspects: table.Records()}
+	out, err := Restore(proto.CloneOf(s).GetSuspects(), table.PartsSnapshot(), table.Version())
+	require.NoError(t, err)
+	return out
+}
