suspect: a full table drops requests with few ended servers first

Cause: beyond 4,096 suspects the table dropped those that expire first, which are the older ones: a request with two crashes before sound requests with one crash each that was counted later. The third crash then counted as the first. Ruled out: expiry (ten minutes) and convictions, which are dropped last. Change: those under which fewer servers ended are dropped first. TestFullTableKeepsRequestsWithMoreEndedServers failed before: the request with two crashes, and the one with two servers ended together, were gone after 5,120 sound requests.

--- a/pkg/suspect/suspect.go
+++ b/pkg/suspect/suspect.go
@@ -3,6 +3,7 @@
 package suspect
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"slices"
@@ -24,7 +25,7 @@
 // Limits and durations.
 const (
 	// MaxSuspects is the largest number of fingerprints in a Table. Beyond it, suspicions are dropped before convictions,
-	// and among equals the one that expires first.
+	// those under which fewer servers ended first, and among equals the one that expires first.
 	MaxSuspects = 4_096
 	// MaxFingerprints is the largest number of fingerprints in one report.
 	MaxFingerprints = 1_024
@@ -249,18 +250,20 @@
 	}
 }
 
-// evictExcess drops the suspects beyond MaxSuspects: suspicions before convictions, and those that expire first.
+// evictExcess drops the suspects beyond MaxSuspects: suspicions before convictions, then those under which fewer servers
+// ended, and those that expire first.
 func (t *Table) evictExcess() {
 	excess := len(t.records) - MaxSuspects
 	if excess <= 0 {
 		return
 	}
 	all := t.Records()
-	slices.SortStableFunc(all, func(a, b *daisyhatchv1.SuspectRecord) int {
-		if d := int(a.GetSuspect().GetState()) - int(b.GetSuspect().GetState()); d != 0 {
-			return d
-		}
-		return int(a.GetSuspect().GetExpiresUnixMs() - b.GetSuspect().GetExpiresUnixMs())
+	slices.SortStableFunc(all, func(x, y *daisyhatchv1.SuspectRecord) int {
+		a, b := x.GetSuspect(), y.GetSuspect()
+		return cmp.Or(
+			cmp.Compare(a.GetState(), b.GetState()), cmp.Compare(a.GetEndedServers(), b.GetEndedServers()),
+			cmp.Compare(a.GetExpiresUnixMs(), b.GetExpiresUnixMs()),
+		)
 	})
 	for _, r := range all[:excess] {
 		delete(t.records, r.GetSuspect().GetFingerprint())
--- a/pkg/suspect/suspect_test.go
+++ b/pkg/suspect/suspect_test.go
@@ -108,6 +108,30 @@
 	require.Equal(t, convicted, table.records[7].GetSuspect().GetState())
 }
 
+// When many servers end under load, thousands of sound requests have one crash each. They must not push out a request that is
+// one crash short of its conviction, nor one whose copies ended several servers at once.
+func TestFullTableKeepsRequestsWithMoreEndedServers(t *testing.T) {
+	table := New()
+	crashTogether(t, table, 8, "a", "b")
+	for i := range 2 {
+		_, err := table.Crash(&daisyhatchv1.CrashCommand{Server: fmt.Sprint(i), Fingerprints: []uint64{7}}, 1)
+		require.NoError(t, err)
+	}
+	for i := range uint64(5) {
+		var list []uint64
+		for j := range uint64(MaxFingerprints) {
+			list = append(list, 100+i*MaxFingerprints+j)
+		}
+		_, err := table.Crash(&daisyhatchv1.CrashCommand{Server: "s", Fingerprints: list}, int64(2+i))
+		require.NoError(t, err)
+	}
+	require.Len(t, table.Records(), MaxSuspects)
+	require.True(t, IsLeased(table.Get(8)))
+	_, err := table.Crash(&daisyhatchv1.CrashCommand{Server: "2", Fingerprints: []uint64{7}}, 10)
+	require.NoError(t, err)
+	require.Equal(t, convicted, table.Get(7).GetState())
+}
+
 // A run that began when its VM didn't know of the last counted crash may have crashed by the same cause, so it must not
 // count as a further crash of the fingerprint.
 func TestRunsThatBeganBeforeTheLastCrashDoNotCount(t *testing.T) {
