relay, upstream: sends that found no connection leave a line, and attempts to connect are counted by result

A send that was not sent left no line, so that a lost way, a server that is avoided and a late send looked alike.

--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -127,8 +127,12 @@
 	}
 	notServerFault := errors.Is(res.err, errServerLeaving) || errors.Is(res.err, limiter.ErrExceeded) ||
 		errors.Is(res.err, errRequestSuspect) || x.req.Context().Err() != nil
-	if res.status == sendOutcomeUnknown && !notServerFault {
+	switch {
+	case notServerFault:
+	case res.status == sendOutcomeUnknown:
 		x.logUnanswered(c, res)
+	default:
+		x.logNotSent(c, res)
 	}
 	x.recordEnd(c, !notServerFault, res.status == sendOutcomeUnknown)
 }
--- a/pkg/relay/unanswered.go
+++ b/pkg/relay/unanswered.go
@@ -33,6 +33,16 @@
 	report()
 }
 
+// logNotSent logs a send for which no connection to the server could be had.
+func (x *exchange) logNotSent(c fleet.Candidate, res *sendResult) {
+	ok, suppressed := x.relay.notSentLog.Allow(time.Now())
+	if !ok {
+		return
+	}
+	x.relay.opts.Log.Info("request not sent", "request", x.call.ID, "service", x.service.Name, "server", c.ID, "incarnation", c.Incarnation(),
+		"took_ms", time.Since(res.start).Milliseconds(), "reason", res.reason(), "lines_left_out", suppressed)
+}
+
 // maxParts bounds the parts of a prompt that are remembered as possible causes of a crash; further ones are ignored.
 const maxParts = 64
 
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -12,10 +12,13 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 // Error is the error of a failed call.
@@ -273,6 +276,7 @@
 		return nil, ErrClosed
 	}
 	c, err := p.dial(ctx, address)
+	countDial(err)
 	if err != nil {
 		return nil, err
 	}
@@ -280,6 +284,22 @@
 	return &conn{Conn: c, address: address, limiter: src, reader: bufio.NewReaderSize(src, readBufferBytes)}, nil
 }
 
+// countDial counts an attempt to connect by its result.
+func countDial(err error) {
+	result := "failed"
+	switch {
+	case err == nil:
+		result = "connected"
+	case errors.Is(err, syscall.ECONNREFUSED):
+		result = "refused"
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, os.ErrDeadlineExceeded):
+		result = "timeout"
+	case errors.Is(err, context.Canceled):
+		result = "given up"
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`daisyhatch_server_dials_total{result=%q}`, result)).Inc()
+}
+
 // CheckReachable checks whether a server accepts connections. It returns nil if so, an error that wraps ErrConnRefused
 // when nothing listens at its address, and any other error when neither is certain. A new connection is kept for the
 // next call.
