path, tunnel: an entry VM that has lost its paths to servers reaches them through control VMs

Cause: an entry VM had one way to a server, its own connections. When the way was lost, each try at each server failed on the same way, after 1.2 s or at once.

Ruled out, by lines: servers that are avoided (each refusal follows failed connections to several servers) and late service (first tries ended with refusals, not at the deadline).

Change: a connection to a server is made by a race. Directly, and, once that fails or takes 80 ms, through a control VM, which passes bytes on a stream of the HTTP/2 connection that stands already. The first connection carries the request, so that nothing is sent twice, and everything else stays at the VM that the caller reached. A path counts as lost when the other way connects to the same server; two in a row without a direct connection mean that the VM is cut off. A server isn't blamed for a lost path: no failure and no end is counted against it.

--- a/pkg/daemon/fleet.go
+++ b/pkg/daemon/fleet.go
@@ -23,12 +23,14 @@
 	"github.com/daisyhatch/daisyhatch/pkg/fsm"
 	"github.com/daisyhatch/daisyhatch/pkg/kernel"
 	"github.com/daisyhatch/daisyhatch/pkg/listen"
+	"github.com/daisyhatch/daisyhatch/pkg/path"
 	"github.com/daisyhatch/daisyhatch/pkg/quarantine"
 	"github.com/daisyhatch/daisyhatch/pkg/relay"
 	"github.com/daisyhatch/daisyhatch/pkg/replica"
 	"github.com/daisyhatch/daisyhatch/pkg/settings"
 	"github.com/daisyhatch/daisyhatch/pkg/stagecall"
 	"github.com/daisyhatch/daisyhatch/pkg/stageclient"
+	"github.com/daisyhatch/daisyhatch/pkg/tunnel"
 	"github.com/daisyhatch/daisyhatch/pkg/upstream"
 )
 
@@ -37,6 +39,7 @@
 	serviceFleetControl = "fleet-control"
 	serviceFleetFollow  = "fleet-follow"
 	serviceFleetEntry   = "fleet-entry"
+	serviceFleetTunnels = "fleet-tunnels"
 )
 
 // fleetServices returns the services that serve raw HTTP services for a platform.
@@ -46,13 +49,16 @@
 		return nil, err
 	}
 	shared := &fleetShared{
-		process: p, path: p.settings.File, dialect: d, state: fleet.NewState(fleet.StateOptions{VM: p.settings.VM.Name, FormsStageCalls: p.settings.VM.Control()}),
+		process: p, file: p.settings.File, dialect: d, state: fleet.NewState(fleet.StateOptions{VM: p.settings.VM.Name, FormsStageCalls: p.settings.VM.Control()}),
 		roster: fleet.NewRoster(p.peerAddress(), p.seedPeers(p.settings.Fleet.Seeds)), pool: upstream.NewPool(nil),
 	}
+	if p.settings.VM.Entry() {
+		shared.usePaths()
+	}
 	metrics.GetOrCreateGauge("daisyhatch_server_limits", func() float64 { return float64(shared.state.LimitCount()) })
 	var out []kernel.Service
 	if p.settings.VM.Control() {
-		out = append(out, &fleetControl{fleetShared: shared})
+		out = append(out, &fleetTunnels{fleetShared: shared}, &fleetControl{fleetShared: shared})
 	}
 	out = append(out, &fleetFollow{fleetShared: shared})
 	if p.settings.VM.Entry() {
@@ -64,11 +70,15 @@
 // fleetShared is what the fleet's services of one process share.
 type fleetShared struct {
 	*process
-	path    string
+	file    string
 	dialect dialect.Dialect
 	state   *fleet.State
 	roster  *fleet.Roster
 	pool    *upstream.Pool
+	// paths connects to servers from an entry VM; nil on other VMs.
+	paths *path.Dialer
+	// tunnels connects to servers through control VMs; nil before it is provisioned.
+	tunnels *tunnel.Dialer
 	// suspects are the requests under which servers ended.
 	suspects *quarantine.Tracker
 }
@@ -277,6 +287,10 @@
 		return err
 	}
 	f.kernel, f.client = k, p.client
+	f.tunnels = tunnel.NewDialer(p.client, func() []string { return f.roster.Addresses(time.Now()) })
+	if f.paths != nil {
+		f.paths.SetLog(k.Log().WithName("paths"))
+	}
 	if f.suspects == nil {
 		f.provideSuspects(k, p.client)
 	}
@@ -316,7 +330,7 @@
 	defer signal.Stop(hangup)
 	tick := time.NewTicker(reloadInterval)
 	defer tick.Stop()
-	seen := modified(f.path)
+	seen := modified(f.file)
 	for {
 		reason := "file changed"
 		select {
@@ -325,13 +339,13 @@
 		case <-hangup:
 			reason = "signal"
 		case <-tick.C:
-			now := modified(f.path)
+			now := modified(f.file)
 			if now.Equal(seen) {
 				continue
 			}
 			seen = now
 		}
-		s, err := settings.Load(f.path)
+		s, err := settings.Load(f.file)
 		if err != nil {
 			f.kernel.Log().Error(err, "settings not reloaded; the former ones stay in use", "reason", reason)
 			continue
@@ -396,6 +410,7 @@
 		Suspects:    f.suspects,
 		Origins:     w.follower.Origins(),
 		Repeats:     allowance.NewRetryBudget(s.RetryRatio, s.RetryExtra, s.RetryWindow),
+		PathLost:    f.paths.IsLost,
 		ColdOverrun: s.ColdOverrun, ColdExtra: s.ColdExtra, Log: k.Log().WithName("relay"),
 	})
 	o.addCheck("configuration", f.ready)
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -285,6 +285,14 @@
 	return s.dir.Get(id)
 }
 
+// IsServer reports whether an address is that of a backend server which has not left.
+func (s *State) IsServer(address string) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	v, ok := s.dir.ByAddress(address)
+	return ok && v.State != directory.Gone
+}
+
 // changedSince returns the servers whose stamp of a kind is later than count, and the count to pass next time.
 func (s *State) changedSince(count uint64, kind stampKind) ([]directory.Server, uint64) {
 	s.mu.RLock()
--- a/pkg/liveness/liveness.go
+++ b/pkg/liveness/liveness.go
@@ -30,8 +30,9 @@
 )
 
 const (
-	// probeTimeout is the timeout of a connection attempt: a few round trips to a server of another region.
-	probeTimeout = 100 * time.Millisecond
+	// probeTimeout is the timeout of a connection attempt: a few round trips to a server of another region, or a direct
+	// attempt that hangs and one through another VM.
+	probeTimeout = 250 * time.Millisecond
 	// returnWindow is how long a silent server is polled for a new incarnation. One that is announced later is not taken
 	// as a sign that the call crashed the server.
 	returnWindow = 15 * time.Second
--- a/pkg/relay/record_test.go
+++ b/pkg/relay/record_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"errors"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -10,6 +12,7 @@
 	"github.com/daisyhatch/daisyhatch/pkg/directory"
 	"github.com/daisyhatch/daisyhatch/pkg/fleet"
 	"github.com/daisyhatch/daisyhatch/pkg/quarantine"
+	"github.com/daisyhatch/daisyhatch/pkg/upstream"
 )
 
 // A send is counted once when it starts and once when it ends, however it ends. A caller that leaves between the head
@@ -32,3 +35,17 @@
 		require.Empty(t, r.plainInFlight)
 	}
 }
+
+// A send that fails because the VM's own path to the server is lost says nothing of the server.
+func TestLostPathIsNotCountedAgainstTheServer(t *testing.T) {
+	for name, lost := range map[string]bool{"path lost": true, "path works": false} {
+		t.Run(name, func(t *testing.T) {
+			r := New(Options{Suspects: quarantine.NewTracker(quarantine.TrackerOptions{}), PathLost: func(address string) bool { return lost && address == "a" }})
+			c := fleet.Candidate{Server: directory.Server{ID: "i-1", Address: "a"}}
+			x := &exchange{relay: r, service: &catalog.Service{Name: "s"}, req: httptest.NewRequest("POST", "/", nil)}
+			x.recordStart(c, time.Now())
+			x.handleSendError(&sendResult{err: &upstream.Error{Err: errors.New("no path")}}, c)
+			require.Equal(t, lost, r.health.usable("i-1", time.Now()))
+		})
+	}
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -81,7 +81,10 @@
 	// times ColdOverrun, plus ColdExtra.
 	ColdOverrun float64
 	ColdExtra   float64
-	Log         logr.Logger
+	// PathLost reports whether this VM's own path to a server's address is lost; nil when that isn't known. Failures are
+	// not counted against such a server.
+	PathLost func(address string) bool
+	Log      logr.Logger
 }
 
 const (
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -134,7 +134,12 @@
 	default:
 		x.logNotSent(c, res)
 	}
-	x.recordEnd(c, !notServerFault, res.status == sendOutcomeUnknown)
+	x.recordEnd(c, !notServerFault && !x.relay.pathLost(c), res.status == sendOutcomeUnknown)
+}
+
+// pathLost reports whether a send may have failed because this VM's own path to the server is lost.
+func (r *Relay) pathLost(c fleet.Candidate) bool {
+	return r.opts.PathLost != nil && r.opts.PathLost(c.Address)
 }
 
 // classifyAnswer sets the status of a send from the server's answer. It reads the body unless the answer is a stream.
--- a/pkg/upstream/socket.go
+++ b/pkg/upstream/socket.go
@@ -26,6 +26,9 @@
 // nothingReceived reports whether an idle connection has nothing to read: neither its end nor bytes that belong to no
 // call.
 func nothingReceived(c net.Conn) bool {
+	if r, ok := c.(interface{ NothingReceived() bool }); ok {
+		return r.NothingReceived()
+	}
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return true
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -119,6 +119,8 @@
 // Pool keeps idle connections to backend servers. It is safe for concurrent use.
 type Pool struct {
 	dial func(ctx context.Context, address string) (net.Conn, error)
+	// usable reports whether an idle connection may be used for another call; nil means that it may.
+	usable func(address string, c net.Conn) bool
 
 	mu     sync.Mutex
 	idle   map[string][]*conn
@@ -129,12 +131,23 @@
 // NewPool returns a Pool that connects with dial; nil means TCP.
 func NewPool(dial func(ctx context.Context, address string) (net.Conn, error)) *Pool {
 	if dial == nil {
-		dial = dialTCP
+		dial = DialTCP
 	}
 	return &Pool{dial: dial, idle: make(map[string][]*conn)}
 }
 
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+// NewCheckedPool is like NewPool with a check of idle connections: one for which usable returns false is closed instead of
+// being used for another call.
+func NewCheckedPool(
+	dial func(ctx context.Context, address string) (net.Conn, error), usable func(address string, c net.Conn) bool,
+) *Pool {
+	p := NewPool(dial)
+	p.usable = usable
+	return p
+}
+
+// DialTCP connects to a server. The connection is closed when sent data stays unacknowledged for 2 s.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{KeepAlive: -1}
 	c, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -200,7 +213,7 @@
 	for len(list) > 0 {
 		c := list[len(list)-1]
 		list = list[:len(list)-1]
-		fresh := maxIdle == 0 || now.Sub(c.idleSince) <= maxIdle
+		fresh := (maxIdle == 0 || now.Sub(c.idleSince) <= maxIdle) && (p.usable == nil || p.usable(address, c.Conn))
 		if now.Before(c.idleUntil) && fresh && c.reader.Buffered() == 0 && nothingReceived(c.Conn) {
 			p.idle[address] = list
 			return c
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -287,3 +287,35 @@
 	require.NoError(t, err)
 	require.EqualValues(t, 2, p.Dials())
 }
+
+// An idle connection that the pool's check rejects is closed, and another one is made.
+func TestIdleConnectionThatFailsTheCheckIsNotUsed(t *testing.T) {
+	var accepted, closed atomic.Int32
+	address := startServer(t, func(c net.Conn, r *bufio.Reader) {
+		accepted.Add(1)
+		defer closed.Add(1)
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	usable := true
+	p := NewCheckedPool(nil, func(a string, _ net.Conn) bool { return a == address && usable })
+	t.Cleanup(p.Close)
+	call := func() {
+		a, err := p.Do(t.Context(), Call{Address: address, Method: http.MethodGet, Target: "/", Host: "h"})
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, a.Body)
+		require.NoError(t, err)
+		require.NoError(t, a.Body.Close())
+	}
+	call()
+	call()
+	require.EqualValues(t, 1, accepted.Load())
+	usable = false
+	call()
+	require.EqualValues(t, 2, accepted.Load())
+	require.Eventually(t, func() bool { return closed.Load() == 1 }, time.Second, time.Millisecond)
+}
