relay: an error answer isn't written into a stream that has begun

Cause: an answer below 500 counts as the server's answer and is delivered whatever was delivered before. Only 5xx were held back. Ruled out: the product's own path, which takes any answer but a 2xx for a failed attempt and ends the stream with an error event and no final [DONE]; and 500 and 503, which passed before.

Change: within a stream that has begun, any answer but a success is a failed send, which is repeated at another server if there is one, or ends the caller's connection.

--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -188,7 +188,8 @@
 	}
 	x.recordEnd(c, false, false)
 	res.status = sendAnswered
-	if a.Status >= http.StatusInternalServerError {
+	// Within a stream that has begun, any answer but its continuation is a failure: its head and body can't be delivered.
+	if a.Status >= http.StatusInternalServerError || x.headSent {
 		res.status = sendServerFailed
 		res.err = errors.New("the server failed: status " + strconv.Itoa(a.Status))
 		return
