relay, upstream: a refusal that may be an earlier one, written once more, isn't taken for the request's own

What callers saw: 'not run, try again' for requests that a server had run or was running (REFUSED), or such a request ran at a second server (TWICE).

Cause: on a kept connection an answer counts as the request's own when it names its attempt or none. A faulty server that writes an earlier refusal once more, as the next request arrives, passes that check if the refusal has no id or both attempts have the same one. Ruled out: bytes that arrive before the next request, which prevent reuse, and refusals with another id, which are skipped.

Change: on a connection that has carried a call before, a refusal without an id, or one more with the id of an earlier refusal, says nothing: the request may have run, and the connection is given up. TestRepeatedRefusalIsNotTakenForTheNextRequests failed before: two servers ran the request in both cases.

--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -35,6 +35,9 @@
 // errRequestSuspect stops a send of a request that became suspected of crashing servers after its server was chosen.
 var errRequestSuspect = errors.New("relay: servers ended under this request")
 
+// errRepeatedRefusal means that a refusal may be that of an earlier request, so that this one may run.
+var errRepeatedRefusal = errors.New("relay: the refusal may be that of an earlier request on the connection")
+
 // sendResult is the result of one send. answer is open when there is one to deliver; body is its body unless it is a
 // stream.
 type sendResult struct {
@@ -148,6 +151,14 @@
 	parsed := x.relay.opts.Dialect.Answer(a.Status, a.Header)
 	x.recordNotice(c, parsed.Notice)
 	x.relay.limiter.Record(c.Server, x.service.Name, &parsed, parsed.Signed, res.start)
+	if (parsed.NotRun || parsed.Misdirected) && !a.CertainRefusal(parsed.CallID) {
+		x.possibleRuns++
+		res.status, res.err = sendOutcomeUnknown, errRepeatedRefusal
+		a.Discard()
+		x.logUnanswered(c, res)
+		x.recordEnd(c, true, true)
+		return
+	}
 	if parsed.NotRun || parsed.Misdirected {
 		res.status = sendNotRun
 		if a.Status == http.StatusConflict {
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -68,6 +69,8 @@
 	maxSkippedAnswers = 2
 	// maxSkippedBodyBytes bounds the body of a skipped answer.
 	maxSkippedBodyBytes = 1 << 20
+	// maxRefusalsKept bounds the refusals that are remembered for a connection.
+	maxRefusalsKept = 16
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 4 << 10
 	// maxIdlePerServer bounds the idle connections to one server.
@@ -116,6 +119,20 @@
 // one may still arrive on the connection. Body must be closed all the same.
 func (a *Answer) Discard() { a.exchange.keepTime = 0 }
 
+// CertainRefusal reports whether an answer which says that the call with an id did not run can't be an earlier one that a
+// faulty server wrote once more: it is the first answer on its connection, or the first refusal with this id. id is empty when
+// the answer names none. A certain refusal is remembered with the connection.
+func (a *Answer) CertainRefusal(id string) bool {
+	c := a.exchange.conn
+	if c.calls > 1 && (id == "" || slices.Contains(c.refused, id)) {
+		return false
+	}
+	if c.refused = append(c.refused, id); len(c.refused) > maxRefusalsKept {
+		c.refused = c.refused[1:]
+	}
+	return true
+}
+
 // Pool keeps idle connections to backend servers. It is safe for concurrent use.
 type Pool struct {
 	dial func(ctx context.Context, address string) (net.Conn, error)
@@ -169,6 +186,9 @@
 	idleUntil time.Time
 	// reused is true once the connection has been in the pool.
 	reused bool
+	// calls is the number of calls made on the connection, refused the ids of the latest ones that the server refused.
+	calls   int
+	refused []string
 }
 
 // headLimiter is a connection that limits how many bytes can be read while an answer's head is read.
@@ -344,6 +364,7 @@
 			return nil, &Error{Err: err}
 		}
 	}
+	c.calls++
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	x := &exchange{pool: p, conn: c, stopWatch: stop, ctx: ctx}
 	written, err := x.writeRequest(&call)
