directory, fleet, platform: an odd announcement costs itself alone

What callers saw: on systems like ours, VMs that read the list of servers ended or stopped following it (LOST).

Cause, shown by a test: an id that isn't UTF-8 (a path with %ff) was taken into the list, and a message with such a string can't be marshalled ('string field contains invalid UTF-8'), so that no list with it can be sent to any VM for the 90 s of a departure or the 15 s of an announcement. Ruled out: deep nesting (the decoder ends at 10,000 levels, a body at 64 KB), numbers too large for their fields and ports over 65,535, all rejected before.

Change: directory.Server.Check decides what can be used, on what a server announces, on departures and on what other VMs pass on. A rejected entry leaves a bounded line, five a second at most.

--- a/pkg/dialect/dialect.go
+++ b/pkg/dialect/dialect.go
@@ -63,6 +63,8 @@
 	// SetDomain takes a failure domain out of use, or back into use when out is false.
 	SetDomain(ctx context.Context, domain string, out bool) error
 	Announce(ctx context.Context, s directory.Server) error
+	// Rejected logs an announcement of a server that can't be read.
+	Rejected(id string, reason error)
 	// Leave marks the server with the id as gone.
 	Leave(ctx context.Context, id string) error
 }
--- a/pkg/fleet/commands.go
+++ b/pkg/fleet/commands.go
@@ -94,6 +94,9 @@
 // once LossesBorne other control VMs have stored it, so that one copy survives the loss of
 // LossesBorne VMs; Announce returns ErrUnavailable otherwise.
 func (c *Control) Announce(ctx context.Context, s directory.Server) error {
+	if err := c.checkServer(&s); err != nil {
+		return err
+	}
 	updated := c.opts.State.MergeDirect(s)
 	if len(updated) > 0 {
 		c.opts.Log.Info("server announced", "server", s.ID, "service", s.Service, "state", s.State.String(),
@@ -105,8 +108,28 @@
 	return c.relay(ctx, s)
 }
 
+// Rejected logs an announcement that was rejected; some lines are left out when there are many.
+func (c *Control) Rejected(id string, reason error) {
+	if ok, leftOut := c.rejectedLog.Allow(time.Now()); ok {
+		c.opts.Log.Info("announcement rejected", "server", fmt.Sprintf("%.64q", id), "reason", fmt.Sprintf("%.200s", reason.Error()), "lines_left_out", leftOut)
+	}
+}
+
+// checkServer returns ErrInvalid if a server's record can't be used.
+func (c *Control) checkServer(s *directory.Server) error {
+	err := s.Check(time.Now())
+	if err != nil {
+		err = fmt.Errorf("%w: %w", ErrInvalid, err)
+		c.Rejected(s.ID, err)
+	}
+	return err
+}
+
 // Leave records a server's departure and acknowledges it as Announce does.
 func (c *Control) Leave(ctx context.Context, id string) error {
+	if err := c.checkServer(&directory.Server{ID: id, State: directory.Gone}); err != nil {
+		return err
+	}
 	s := c.opts.State.Leave(id, time.Now())
 	c.opts.Log.Info("server left", "server", id, "service", s.Service, "address", s.Address)
 	return c.relay(ctx, s)
--- a/pkg/fleet/control.go
+++ b/pkg/fleet/control.go
@@ -19,6 +19,7 @@
 	"github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1/daisyhatchv1connect"
 	"github.com/daisyhatch/daisyhatch/pkg/catalog"
 	"github.com/daisyhatch/daisyhatch/pkg/fsm"
+	"github.com/daisyhatch/daisyhatch/pkg/logsink"
 	"github.com/daisyhatch/daisyhatch/pkg/replica"
 	"github.com/daisyhatch/daisyhatch/pkg/stageowner"
 )
@@ -65,6 +66,8 @@
 	refreshInterval = 5 * time.Second
 	// rosterRefreshInterval is how often followers are sent an unchanged list of control VMs: a third of rosterTTL.
 	rosterRefreshInterval = rosterTTL / 3
+	// rejectedPerSecond bounds the log lines about rejected announcements.
+	rejectedPerSecond = 5
 	// entriesInterval is the least time between two lists of entry VMs on one stream, so that VMs that start together
 	// are sent in one message.
 	entriesInterval = 500 * time.Millisecond
@@ -114,6 +117,7 @@
 	// snapshotSlots limits how many followers receive their first message, which lists all servers, at the same time.
 	snapshotSlots chan struct{}
 	owners        ownerPlanState
+	rejectedLog   *logsink.Budget
 
 	mu        sync.Mutex
 	joiners   map[string]Joiner
@@ -135,7 +139,7 @@
 // NewControl returns a Control. stages may be nil; StageRun and StageFree must not be called then.
 func NewControl(o ControlOptions, stages StageRunner) *Control {
 	return &Control{
-		opts: o, started: time.Now(), stages: stages, snapshotSlots: make(chan struct{}, maxConcurrentSnapshots), joiners: make(map[string]Joiner), followers: make(map[uint64]entryFollower),
+		opts: o, started: time.Now(), stages: stages, rejectedLog: logsink.NewBudget(rejectedPerSecond), snapshotSlots: make(chan struct{}, maxConcurrentSnapshots), joiners: make(map[string]Joiner), followers: make(map[uint64]entryFollower),
 	}
 }
 
--- a/pkg/fleet/convert.go
+++ b/pkg/fleet/convert.go
@@ -30,10 +30,13 @@
 	return v
 }
 
+// serversFromWire decodes server records, and leaves out those that can't be used.
 func serversFromWire(list []*daisyhatchv1.AnnouncedServer, now time.Time) []directory.Server {
 	out := make([]directory.Server, 0, len(list))
 	for _, s := range list {
-		out = append(out, serverFromWire(s, now))
+		if v := serverFromWire(s, now); v.Check(time.Now()) == nil {
+			out = append(out, v)
+		}
 	}
 	return out
 }
