--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -319,3 +319,35 @@
 	require.EqualValues(t, 2, accepted.Load())
 	require.Eventually(t, func() bool { return closed.Load() == 1 }, time.Second, time.Millisecond)
 }
+
+// noisyConn is a connection on which something was received while it was idle, which only it knows.
+type noisyConn struct{ net.Conn }
+
+func (noisyConn) NothingReceived() bool { return false }
+
+// A connection that tells that something was received while it was idle is not used again.
+func TestConnectionThatTellsOfBytesIsNotUsed(t *testing.T) {
+	var accepted atomic.Int32
+	address := startServer(t, func(c net.Conn, r *bufio.Reader) {
+		accepted.Add(1)
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	p := NewPool(func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := DialTCP(ctx, address)
+		return noisyConn{c}, err
+	})
+	t.Cleanup(p.Close)
+	for range 3 {
+		a, err := p.Do(t.Context(), Call{Address: address, Method: http.MethodGet, Target: "/", Host: "h"})
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, a.Body)
+		require.NoError(t, err)
+		require.NoError(t, a.Body.Close())
+	}
+	require.EqualValues(t, 3, accepted.Load())
+}
