relay, fleet: lines for sends that were given up and for servers that were replaced

What the logs lacked to tell the hypotheses of docs/incidents/crashing-unseen.md apart: nothing was written of a send that this VM ended itself because the caller left, and nothing said that another incarnation took a server's place.

Change: the line "send given up" (fingerprint, server, incarnation, whether the answer had begun; bounded a second) with a counter, and the line "server replaced". No decision is changed.

--- a/pkg/fleet/follower.go
+++ b/pkg/fleet/follower.go
@@ -14,6 +14,7 @@
 	daisyhatchv1 "github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1"
 	"github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1/daisyhatchv1connect"
 	"github.com/daisyhatch/daisyhatch/pkg/catalog"
+	"github.com/daisyhatch/daisyhatch/pkg/directory"
 	"github.com/daisyhatch/daisyhatch/pkg/stageowner"
 )
 
@@ -305,7 +306,9 @@
 	} else {
 		state.touchEntries(address, now)
 	}
-	state.Merge(serversFromWire(m.GetServers(), now))
+	servers := serversFromWire(m.GetServers(), now)
+	f.logReplaced(servers)
+	state.Merge(servers)
 	logLimits(f.opts.Log, state.mergeLimits(limitsFromWire(m.GetLimits(), now), false), address, now)
 	if f.opts.PeerAddress != "" {
 		// A control VM's replicated state comes from its own log.
@@ -327,6 +330,21 @@
 	}
 }
 
+// logReplaced logs the servers of which another incarnation is known than those announced now, and those at whose address
+// another server is known.
+func (f *Follower) logReplaced(servers []directory.Server) {
+	for _, v := range servers {
+		former, known := f.opts.State.Server(v.ID)
+		if !known {
+			former, known = f.opts.State.ServerAt(v.Address)
+		}
+		if known && former.Born < v.Born && former.Born != 0 {
+			f.opts.Log.Info("server replaced", "server", former.ID, "incarnation", former.Incarnation(), "address", v.Address,
+				"by", v.ID, "by_incarnation", v.Incarnation())
+		}
+	}
+}
+
 // applyRevision applies a newer replicated state. It returns false if the document is missing or can't be parsed.
 func (f *Follower) applyRevision(m *daisyhatchv1.FollowResponse, now time.Time) bool {
 	var set *catalog.Set
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -106,6 +106,7 @@
 	cold        *allowance.Window
 	answeredLog *logsink.Budget
 	notSentLog  *logsink.Budget
+	givenUpLog  *logsink.Budget
 	limiter     *limiter.Limiter
 	stopping    atomic.Bool
 	// sends ends when requests are not sent to servers any more; endSends ends it.
@@ -129,7 +130,8 @@
 	sends, endSends := context.WithCancelCause(context.Background())
 	return &Relay{
 		opts: o, sends: sends, endSends: endSends, cold: allowance.NewWindow(time.Second), answeredLog: logsink.NewBudget(logsink.AnsweredPerSecond), notSentLog: logsink.NewBudget(logsink.AnsweredPerSecond),
-		limiter: limiter.New(o.View, o.Log), health: newHealth(), placements: placement.NewPlacer(),
+		givenUpLog: logsink.NewBudget(logsink.AnsweredPerSecond),
+		limiter:    limiter.New(o.View, o.Log), health: newHealth(), placements: placement.NewPlacer(),
 		plainInFlight: make(map[string]int), inStages: make(map[string]int), maxTimeout: make(map[string]time.Duration),
 		liveness: liveness.New(o.Pool, func(id string) (directory.Server, bool) { return o.View.Server(id) }),
 	}
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -131,6 +131,8 @@
 	notServerFault := errors.Is(res.err, errServerLeaving) || errors.Is(res.err, limiter.ErrExceeded) ||
 		errors.Is(res.err, errRequestSuspect) || x.req.Context().Err() != nil
 	switch {
+	case x.req.Context().Err() != nil:
+		x.logGivenUp(c, res)
 	case notServerFault:
 	case res.status == sendOutcomeUnknown:
 		x.logUnanswered(c, res)
--- a/pkg/relay/unanswered.go
+++ b/pkg/relay/unanswered.go
@@ -33,6 +33,23 @@
 	report()
 }
 
+// logGivenUp logs and counts a send that this VM ended because the caller left, while the server may have been running the
+// request.
+func (x *exchange) logGivenUp(c fleet.Candidate, res *sendResult) {
+	if !x.inFlight || res.status != sendOutcomeUnknown && res.status != sendAnswered {
+		return
+	}
+	sendsGivenUp.Inc()
+	ok, suppressed := x.relay.givenUpLog.Allow(time.Now())
+	if !ok {
+		return
+	}
+	x.relay.opts.Log.Info("send given up", "request", x.call.ID, "fingerprint", strconv.FormatUint(x.fingerprint, 16), "service", x.service.Name,
+		"server", c.ID, "incarnation", c.Incarnation(), "begun", x.begun, "took_ms", time.Since(res.start).Milliseconds(), "lines_left_out", suppressed)
+}
+
+var sendsGivenUp = metrics.NewCounter("daisyhatch_relay_sends_given_up_total")
+
 // logNotSent logs a send for which no connection to the server could be had.
 func (x *exchange) logNotSent(c fleet.Candidate, res *sendResult) {
 	ok, suppressed := x.relay.notSentLog.Allow(time.Now())
