liveness: what accepts a connection may be the process that replaced the server

Cause: a VM looked once at a server whose connection broke, and took an accepted connection for proof that the server lives.

Change: a reachable server is watched as silent ones were, without further connections: announcements show whether an incarnation, of its id or of another id at its address, had started by the time the call ended. The verdict is a pure function of what was seen. The watch is one goroutine instead of one a call. A server that is replaced later was alive after the call, and nothing counts.

Ruled out: asking the server for its identity with a health check (a priced request, which a stalled server doesn't answer, and a new incarnation of the same id answers like the old one).

--- a/pkg/liveness/liveness.go
+++ b/pkg/liveness/liveness.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
 	"time"
 
 	"github.com/daisyhatch/daisyhatch/pkg/directory"
@@ -19,7 +18,7 @@
 
 // States.
 const (
-	// Reachable servers accept new connections: only the connection of the call broke.
+	// Reachable servers accept new connections: only the connection of the call broke, as far as is known.
 	Reachable State = "reachable"
 	// Ended servers refuse connections, or another incarnation has replaced them.
 	Ended State = "ended"
@@ -29,30 +28,28 @@
 	Silent State = "silent"
 )
 
-const (
-	// probeTimeout is the timeout of a connection attempt: a few round trips to a server of another region, or a direct
-	// attempt that hangs and one through another VM.
-	probeTimeout = 250 * time.Millisecond
-	// returnWindow is how long a silent server is polled for a new incarnation. One that is announced later is not taken
-	// as a sign that the call crashed the server.
-	returnWindow = 15 * time.Second
-	pollInterval = 500 * time.Millisecond
-	// maxPolled is the largest number of silent servers polled at the same time; further ones are not polled.
-	maxPolled = 256
-)
+// probeTimeout is the timeout of a connection attempt: a few round trips to a server of another region, or a direct
+// attempt that hangs and one through another VM.
+const probeTimeout = 250 * time.Millisecond
+
+// View is what is known of servers.
+type View interface {
+	// Server returns the newest announcement of a server; false when the server is unknown.
+	Server(id string) (directory.Server, bool)
+	// ServerAt returns the server to which an address belongs; false when none is known.
+	ServerAt(address string) (directory.Server, bool)
+}
 
 // Checker checks servers that didn't respond. It is safe for concurrent use.
 type Checker struct {
-	pool *upstream.Pool
-	// lookup returns the newest announcement of a server; false when the server is unknown.
-	lookup func(id string) (directory.Server, bool)
-	polled atomic.Int32
+	pool  *upstream.Pool
+	view  View
+	watch watch
 }
 
-// New returns a Checker that connects through pool. lookup returns the newest announcement of a server, or false when
-// the server is unknown.
-func New(pool *upstream.Pool, lookup func(id string) (directory.Server, bool)) *Checker {
-	return &Checker{pool: pool, lookup: lookup}
+// New returns a Checker that connects through pool.
+func New(pool *upstream.Pool, view View) *Checker {
+	return &Checker{pool: pool, view: view}
 }
 
 // Target returns the engine target for the server's incarnation.
@@ -61,16 +58,18 @@
 }
 
 // Check returns the state of the incarnation v of a server, and counts a crash against runs, the requests that were on it,
-// when the incarnation has ended. A silent server is polled in the background, and its crash is counted once another
-// incarnation has replaced it.
+// when the incarnation has ended. A server that may have ended all the same is watched in the background, and its crash is
+// counted once announcements show it: a silent one, and one whose address accepts connections, since these may be those of
+// the process that replaced it.
 func (c *Checker) Check(ctx context.Context, v directory.Server, runs ...*quarantine.Run) State {
-	state := c.probe(ctx, v)
+	now := time.Now()
+	state := c.look(ctx, v)
 	switch state {
 	case Ended:
 		reportCrashes(runs)
-	case Silent:
+	case Silent, Reachable:
 		if len(runs) > 0 {
-			go c.pollSilent(v, runs)
+			c.startWatch(&watchedCall{server: v, runs: runs, seen: observation{endedAt: now, probe: state}})
 		}
 	}
 	return state
@@ -82,10 +81,18 @@
 	}
 }
 
-func (c *Checker) probe(ctx context.Context, v directory.Server) State {
-	if s := c.announced(v); s != "" {
-		return s
+// look returns the state of a server according to its announcements, and to a connection attempt if these say nothing.
+func (c *Checker) look(ctx context.Context, v directory.Server) State {
+	if _, replaced := c.successor(v); replaced {
+		return Ended
+	}
+	if c.isLeaving(v) {
+		return Leaving
 	}
+	return c.probe(ctx, v)
+}
+
+func (c *Checker) probe(ctx context.Context, v directory.Server) State {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 	defer cancel()
 	switch err := c.pool.CheckReachable(ctx, v.Address); {
@@ -98,32 +105,19 @@
 	}
 }
 
-// announced returns the state according to the server's announcements; empty when they say that it is ready or nothing.
-func (c *Checker) announced(v directory.Server) State {
-	current, known := c.lookup(v.ID)
-	switch {
-	case known && current.Born != v.Born:
-		return Ended
-	case known && current.State != directory.Ready:
-		return Leaving
+// successor returns what is announced in the place of a server's incarnation: another incarnation, or a later server at its
+// address.
+func (c *Checker) successor(v directory.Server) (directory.Server, bool) {
+	if current, ok := c.view.Server(v.ID); ok && current.Born != v.Born {
+		return current, true
 	}
-	return ""
+	if holder, ok := c.view.ServerAt(v.Address); ok && holder.ID != v.ID && holder.Born > v.Born {
+		return holder, true
+	}
+	return directory.Server{}, false
 }
 
-// pollSilent polls a silent server's announcements until it is replaced or leaves, or returnWindow has passed.
-func (c *Checker) pollSilent(v directory.Server, runs []*quarantine.Run) {
-	defer c.polled.Add(-1)
-	if c.polled.Add(1) > maxPolled {
-		return
-	}
-	for range returnWindow / pollInterval {
-		time.Sleep(pollInterval)
-		switch c.announced(v) {
-		case Ended:
-			reportCrashes(runs)
-			return
-		case Leaving:
-			return
-		}
-	}
+func (c *Checker) isLeaving(v directory.Server) bool {
+	current, ok := c.view.Server(v.ID)
+	return ok && current.State != directory.Ready
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -54,6 +54,8 @@
 	Allowed(server string) bool
 	// Server returns the last known state of a server; false when it is unknown.
 	Server(id string) (directory.Server, bool)
+	// ServerAt returns the server to which an address belongs; false when none is known.
+	ServerAt(address string) (directory.Server, bool)
 	// Noticed records what an incarnation of a server reported in an answer, and reports whether that is new.
 	Noticed(v directory.Server, n holdoff.Notice, now time.Time) bool
 	// Back returns the time until the first server of a service that wants no calls now accepts them again; false when
@@ -133,7 +135,7 @@
 		givenUpLog: logsink.NewBudget(logsink.AnsweredPerSecond),
 		limiter:    limiter.New(o.View, o.Log), health: newHealth(), placements: placement.NewPlacer(),
 		plainInFlight: make(map[string]int), inStages: make(map[string]int), maxTimeout: make(map[string]time.Duration),
-		liveness: liveness.New(o.Pool, func(id string) (directory.Server, bool) { return o.View.Server(id) }),
+		liveness: liveness.New(o.Pool, o.View),
 	}
 }
 
--- a/pkg/stagecall/runner.go
+++ b/pkg/stagecall/runner.go
@@ -107,7 +107,7 @@
 	if o.Suspects == nil {
 		o.Suspects = quarantine.NewTracker(quarantine.TrackerOptions{Log: o.Log})
 	}
-	checker := liveness.New(o.AuxPool, func(id string) (directory.Server, bool) { return o.View.Server(id) })
+	checker := liveness.New(o.AuxPool, o.View)
 	return &Runner{opts: o, liveness: checker, limiter: limiter.New(o.View, o.Log), pools: make(map[string]*pool), pendingFrees: make(map[string]*pendingFree)}
 }
 
