liveness, relay, quarantine: the server of a call that this VM gave up is watched

Cause: when a caller left, or the time was over, the VM closed its connection to the server and forgot the run at that moment. The server goes on for a while and ends; its end belonged to no request, or to whichever others were there. The class: a cancellation is taken for the end of what was cancelled.

Change: such a run stays on its server's list for 500 ms, so that an end which another call finds out counts against it too, and the VM looks at the server after that: by a new connection, unless the server has answered another call meanwhile. One attempt serves all calls of a server that are due. A server that gave no sign of life since the call and is replaced within 5 s had stood still, and ended under it. Calls of stages that time out are the same case. Connections are closed as before: nothing runs longer, nobody waits.

Ruled out: keeping the connection open to see it break (the server would go on working for a caller who is gone); counting each end within seconds of a call (a sound request whose callers leave would collect the ends of servers that end for other reasons).

--- a/pkg/liveness/liveness.go
+++ b/pkg/liveness/liveness.go
@@ -71,10 +71,39 @@
 		if len(runs) > 0 {
 			c.startWatch(&watchedCall{server: v, runs: runs, seen: observation{endedAt: now, probe: state}})
 		}
+	case Leaving:
 	}
 	return state
 }
 
+// CheckGivenUp is Check for a call that this VM ended before it had an answer, on which GiveUp was called for all runs. The
+// server may end under it within settleTime, and is looked at again after that.
+func (c *Checker) CheckGivenUp(ctx context.Context, v directory.Server, runs ...*quarantine.Run) State {
+	state := c.look(ctx, v)
+	if state == Ended {
+		reportCrashes(runs)
+		settle(runs)
+		return state
+	}
+	c.GaveUp(v, runs...)
+	return state
+}
+
+// GaveUp is CheckGivenUp without a look at the server now. It doesn't block.
+func (c *Checker) GaveUp(v directory.Server, runs ...*quarantine.Run) {
+	now := time.Now()
+	c.startWatch(&watchedCall{server: v, runs: runs, seen: observation{endedAt: now.Add(settleTime), givenUp: true}})
+}
+
+// Answered records that a server has answered a call.
+func (c *Checker) Answered(v directory.Server) { c.watch.answered(v.ID, time.Now()) }
+
+func settle(runs []*quarantine.Run) {
+	for _, r := range runs {
+		r.Settled()
+	}
+}
+
 func reportCrashes(runs []*quarantine.Run) {
 	for _, r := range runs {
 		r.Crashed()
--- a/pkg/liveness/liveness_test.go
+++ b/pkg/liveness/liveness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -96,15 +97,92 @@
 	}
 }
 
-// A server whose connection broke, and which ends much later, has not ended under the request.
+// A server whose connection broke, and which ends later, has not ended under the request: it answered another one in between, or
+// much time has passed.
 func TestLaterEndOfAReachableServerDoesNotCount(t *testing.T) {
-	f := newFixture(t, accept)
+	for name, c := range map[string]struct {
+		answers bool
+		later   time.Duration
+	}{"answers before it ends": {true, 2 * time.Second}, "ends much later": {false, 8 * time.Second}} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, accept)
+			run := f.tracker.Begin(liveness.Target(f.server), 1)
+			require.Equal(t, liveness.Reachable, f.checker.Check(t.Context(), f.server, run))
+			run.End()
+			if c.answers {
+				f.checker.Answered(f.server)
+			}
+			next := f.server
+			next.Born = time.Now().Add(c.later).UnixMilli()
+			f.board.announce(next)
+			time.Sleep(600 * time.Millisecond)
+			require.Zero(t, f.tracker.Crashes(1))
+		})
+	}
+}
+
+// refuse is a dial function for an address at which nothing listens.
+func refuse(context.Context) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+
+// giveUp begins a run of request 1 that this VM gives up at once.
+func (f *fixture) giveUp() {
 	run := f.tracker.Begin(liveness.Target(f.server), 1)
-	require.Equal(t, liveness.Reachable, f.checker.Check(t.Context(), f.server, run))
+	run.GiveUp()
+	f.checker.GaveUp(f.server, run)
 	run.End()
-	next := f.server
-	next.Born = time.Now().Add(2 * time.Second).UnixMilli()
-	f.board.announce(next)
-	time.Sleep(600 * time.Millisecond)
-	require.Zero(t, f.tracker.Crashes(1))
+}
+
+// A server that ends soon after this VM gave a call up has ended under it; one that lives, or ends after it answered another call, has not.
+func TestServerThatEndsAfterItsCallWasGivenUp(t *testing.T) {
+	for name, c := range map[string]struct {
+		dial    func(context.Context) (net.Conn, error)
+		answers bool
+		// replaced is when another incarnation starts, after the call was given up; 0 means never.
+		replaced time.Duration
+		crashes  int
+	}{
+		"refuses connections":               {refuse, false, 0, 1},
+		"is back at once":                   {accept, true, 50 * time.Millisecond, 1},
+		"stalls, then is replaced":          {accept, false, 3 * time.Second, 1},
+		"lives":                             {accept, true, 0, 0},
+		"accepts connections":               {accept, false, 0, 0},
+		"answers others, then is replaced":  {accept, true, 3 * time.Second, 0},
+		"stalls for long, then is replaced": {accept, false, 9 * time.Second, 0},
+		"is silent, then is replaced":       {hang, false, 3 * time.Second, 1},
+		"is silent":                         {hang, false, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, c.dial)
+			f.giveUp()
+			begin := time.Now()
+			time.Sleep(550 * time.Millisecond)
+			if c.answers {
+				f.checker.Answered(f.server)
+			}
+			time.Sleep(550 * time.Millisecond)
+			if c.replaced > 0 {
+				next := f.server
+				next.Born = begin.Add(c.replaced).UnixMilli()
+				f.board.announce(next)
+			}
+			time.Sleep(700 * time.Millisecond)
+			require.Equal(t, c.crashes, f.tracker.Crashes(1))
+		})
+	}
+}
+
+func hang(ctx context.Context) (net.Conn, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// The end of a server that another call finds out counts against a request that was given up just before as well.
+func TestGivenUpCallIsStillOnItsServer(t *testing.T) {
+	f := newFixture(t, refuse)
+	f.giveUp()
+	other := f.tracker.Begin(liveness.Target(f.server), 2)
+	require.Equal(t, liveness.Ended, f.checker.Check(t.Context(), f.server, other))
+	require.Equal(t, 1, f.tracker.Crashes(1))
+	require.Equal(t, 1, f.tracker.Crashes(2))
 }
--- a/pkg/liveness/verdict.go
+++ b/pkg/liveness/verdict.go
@@ -3,19 +3,30 @@
 import "time"
 
 const (
+	// settleTime is how long a server may go on with a request after its connection was closed.
+	settleTime = 500 * time.Millisecond
 	// returnWindow is how long after a call a server is watched. One that is replaced later is not taken to have ended
 	// under the call.
 	returnWindow = 15 * time.Second
+	// stallTime is the longest time that a server may stand still before it ends.
+	stallTime = 5 * time.Second
+	// announceTime is how long a new incarnation may answer calls before it is known here.
+	announceTime = time.Second
 	// clockTolerance is how far the clocks of servers and VMs may differ.
 	clockTolerance = 500 * time.Millisecond
 )
 
 // observation is what is known of a server after a call to it that got no answer.
 type observation struct {
-	// endedAt is when the call ended.
+	// endedAt is when the call was over: when its connection broke, or settleTime after this VM gave it up.
 	endedAt time.Time
-	// probe is the state that the last connection attempt showed.
+	// givenUp is true if this VM ended the call.
+	givenUp bool
+	// probe is the state that a connection attempt showed since endedAt; empty before the first.
 	probe State
+	// aliveAt is the last sign of life of the server's process: an answer to a call or an announcement. It may be one of the
+	// process that replaced it.
+	aliveAt time.Time
 	// leaving is true once the server has announced that it leaves.
 	leaving bool
 	// replaced is true once another incarnation is announced in the server's place, which started at born by its own clock.
@@ -24,20 +35,33 @@
 }
 
 // judge returns the state of the server, and whether that is final. A server that was replaced ended under the call if it
-// had been silent, or if its successor had started by the time the call ended: then the connection attempt may have reached
-// the successor. Otherwise it was alive after the call.
+// had been silent, if its successor had started by the time the call was over, or if it had stood still since. Otherwise it
+// was alive after the call.
 func judge(o observation, now time.Time) (state State, final bool) {
+	alive := !o.aliveAt.Before(o.endedAt)
 	switch {
-	case o.probe == Ended, o.replaced && o.probe == Silent, o.replaced && !startedAfter(o.born, o.endedAt):
+	case o.probe == Ended, o.replaced && o.endedUnder(alive):
 		return Ended, true
 	case o.replaced:
 		return Reachable, true
 	case o.leaving:
 		return Leaving, true
+	case alive && now.Sub(o.endedAt) >= announceTime:
+		return Reachable, true
 	}
 	return o.probe, now.Sub(o.endedAt) > returnWindow
 }
 
+// endedUnder reports whether a server that was replaced had ended under the call; alive is true if it gave a sign of life later.
+func (o observation) endedUnder(alive bool) bool {
+	return o.probe == Silent || !startedAfter(o.born, o.endedAt) || !alive && !startedAfter(o.born, o.endedAt.Add(stallTime))
+}
+
+// needsProbe reports whether a connection attempt is due: the call is over, and the server has given no sign of life since.
+func (o observation) needsProbe(now time.Time) bool {
+	return o.probe == "" && !now.Before(o.endedAt) && o.aliveAt.Before(o.endedAt)
+}
+
 // startedAfter reports whether a server that started at born, by its own clock, certainly did so after t, by this VM's.
 func startedAfter(born, t time.Time) bool {
 	return born.UnixMilli() > t.Add(clockTolerance).UnixMilli()
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -83,6 +83,8 @@
 	request runningRequest
 	// ended is when the request left the server; 0 while it is there.
 	ended time.Duration
+	// givenUp is true if this VM closed the connection before the answer was complete.
+	givenUp bool
 }
 
 // Begin records that a request starts on a server. parts are the fingerprints of the parts of its prompt that other prompts
@@ -106,10 +108,30 @@
 	t.shareAnswered(answered)
 }
 
+// GiveUp records that this VM closes the request's connection before the answer is complete. The server may go on with the
+// request for a while, which Settled ends; End has no effect any more.
+func (r *Run) GiveUp() {
+	r.tracker.mu.Lock()
+	defer r.tracker.mu.Unlock()
+	if r.ended == 0 {
+		r.ended, r.givenUp = time.Since(r.tracker.start), true
+	}
+}
+
+// Settled records that the server does not work on a request any more that was given up. It may be called more than once.
+func (r *Run) Settled() {
+	r.tracker.mu.Lock()
+	defer r.tracker.mu.Unlock()
+	r.tracker.state.end(serverKeyOf(r.target), r.request.id)
+}
+
 // End records that the request is no longer on the server. It may be called more than once.
 func (r *Run) End() {
 	r.tracker.mu.Lock()
 	defer r.tracker.mu.Unlock()
+	if r.givenUp {
+		return
+	}
 	if r.ended == 0 {
 		r.ended = time.Since(r.tracker.start)
 	}
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -41,7 +41,7 @@
 		res := x.send(server)
 		if x.callerLeft() {
 			res.close()
-			x.logGivenUp(server, res)
+			x.giveUpSend(server, res)
 			x.recordEnd(server, false, false)
 			break
 		}
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -132,7 +132,7 @@
 		errors.Is(res.err, errRequestSuspect) || x.req.Context().Err() != nil
 	switch {
 	case x.req.Context().Err() != nil:
-		x.logGivenUp(c, res)
+		x.giveUpSend(c, res)
 	case notServerFault:
 	case res.status == sendOutcomeUnknown:
 		x.logUnanswered(c, res)
@@ -240,6 +240,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	x.begun = true
+	r.liveness.Answered(c.Server)
 	r.health.recordAnswer(x.service.Name, c.ID, first, time.Now())
 	if x.placed != nil {
 		r.placements.PrefillDone(x.placed)
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -42,7 +42,7 @@
 			}
 			if werr := x.writeEvent(res, event, !eventBuffered(events), flusher); werr != nil {
 				res.close()
-				x.logGivenUp(c, res)
+				x.giveUpSend(c, res)
 				x.recordEnd(c, false, false)
 				x.outcome, x.reason, x.abort = "left", "writing the stream to the caller failed: "+werr.Error(), true
 				return true
@@ -100,7 +100,7 @@
 func (x *exchange) handleBrokenStream(res *sendResult, c fleet.Candidate, err error) bool {
 	res.close()
 	if x.callerLeft() {
-		x.logGivenUp(c, res)
+		x.giveUpSend(c, res)
 		x.recordEnd(c, false, false)
 		return true
 	}
--- a/pkg/relay/unanswered.go
+++ b/pkg/relay/unanswered.go
@@ -18,8 +18,13 @@
 func (x *exchange) logUnanswered(c fleet.Candidate, res *sendResult) {
 	start, reason, serverRun, crashes := res.start, res.reason(), x.serverRun, x.relay.opts.Suspects.Crashes(x.fingerprint)
 	parts, begun := formatFingerprints(x.parts), x.begun
+	check := x.relay.liveness.Check
+	if x.ctx.Err() != nil {
+		serverRun.GiveUp()
+		check = x.relay.liveness.CheckGivenUp
+	}
 	report := func() {
-		state := x.relay.liveness.Check(x.ctx, c.Server, serverRun)
+		state := check(x.ctx, c.Server, serverRun)
 		metrics.GetOrCreateCounter(fmt.Sprintf(`daisyhatch_relay_unanswered_total{server=%q,begun="%t"}`, state, begun)).Inc()
 		x.relay.opts.Log.Info("send without an answer", "request", x.call.ID, "fingerprint", strconv.FormatUint(x.fingerprint, 16),
 			"service", x.service.Name, "server", c.ID, "incarnation", c.Incarnation(), "server_state", string(state),
@@ -33,12 +38,14 @@
 	report()
 }
 
-// logGivenUp logs and counts a send that this VM ended because the caller left, while the server may have been running the
-// request.
-func (x *exchange) logGivenUp(c fleet.Candidate, res *sendResult) {
+// giveUpSend ends a send because the caller left, while the server may be running the request. A crash of the server soon after
+// counts against the request.
+func (x *exchange) giveUpSend(c fleet.Candidate, res *sendResult) {
 	if !x.inFlight || res.status != sendOutcomeUnknown && res.status != sendAnswered {
 		return
 	}
+	x.serverRun.GiveUp()
+	x.relay.liveness.GaveUp(c.Server, x.serverRun)
 	sendsGivenUp.Inc()
 	ok, suppressed := x.relay.givenUpLog.Allow(time.Now())
 	if !ok {
--- a/pkg/stagecall/pool.go
+++ b/pkg/stagecall/pool.go
@@ -230,7 +230,15 @@
 func (p *pool) endRuns(c *Call, runs []*quarantine.Run, err error) liveness.State {
 	state := liveness.State("")
 	var e *upstream.Error
-	if errors.As(err, &e) && e.Sent {
+	switch sent := errors.As(err, &e) && e.Sent; {
+	case err == nil:
+		p.runner.liveness.Answered(c.Server.record())
+	case sent && errors.Is(err, context.DeadlineExceeded):
+		for _, r := range runs {
+			r.GiveUp()
+		}
+		state = p.runner.liveness.CheckGivenUp(context.Background(), c.Server.record(), runs...)
+	case sent:
 		state = p.runner.liveness.Check(context.Background(), c.Server.record(), runs...)
 	}
 	for _, r := range runs {
