quarantine, liveness: runs that left their servers well count for a request that callers leave

Cause: a request is cleared by an answer only. One whose callers leave is never answered, so that each server that happens to end under it counted, and the thousands of runs that their servers outlived counted nothing. The class: evidence of one kind is collected, and that of the other kind is thrown away.

Change: the watch of a call that was given up tells when the server lived on: it answered another call later, on a connection from before, or 1 s passed after any sign of life.

--- a/pkg/liveness/liveness.go
+++ b/pkg/liveness/liveness.go
@@ -92,12 +92,9 @@
 // GaveUp is CheckGivenUp without a look at the server now. It doesn't block.
 func (c *Checker) GaveUp(v directory.Server, runs ...*quarantine.Run) {
 	now := time.Now()
-	c.startWatch(&watchedCall{server: v, runs: runs, seen: observation{endedAt: now.Add(settleTime), givenUp: true}})
+	c.startWatch(&watchedCall{server: v, runs: runs, seen: observation{endedAt: now.Add(settleTime), givenUp: true, givenUpAt: now}})
 }
 
-// Answered records that a server has answered a call.
-func (c *Checker) Answered(v directory.Server) { c.watch.answered(v.ID, time.Now()) }
-
 func settle(runs []*quarantine.Run) {
 	for _, r := range runs {
 		r.Settled()
--- a/pkg/liveness/liveness_test.go
+++ b/pkg/liveness/liveness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
+	daisyhatchv1 "github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1"
 	"github.com/daisyhatch/daisyhatch/pkg/directory"
 	"github.com/daisyhatch/daisyhatch/pkg/liveness"
 	"github.com/daisyhatch/daisyhatch/pkg/quarantine"
@@ -110,7 +112,7 @@
 			require.Equal(t, liveness.Reachable, f.checker.Check(t.Context(), f.server, run))
 			run.End()
 			if c.answers {
-				f.checker.Answered(f.server)
+				f.checker.Answered(f.server, time.Now())
 			}
 			next := f.server
 			next.Born = time.Now().Add(c.later).UnixMilli()
@@ -158,7 +160,7 @@
 			begin := time.Now()
 			time.Sleep(550 * time.Millisecond)
 			if c.answers {
-				f.checker.Answered(f.server)
+				f.checker.Answered(f.server, time.Now())
 			}
 			time.Sleep(550 * time.Millisecond)
 			if c.replaced > 0 {
@@ -177,6 +179,38 @@
 	return nil, ctx.Err()
 }
 
+// Runs that were given up and that the server outlived clear the request; an accepted connection shows nothing.
+func TestServerOutlivesGivenUpCalls(t *testing.T) {
+	for name, c := range map[string]struct{ broken, answers, clears bool }{
+		"answers":                        {false, true, true},
+		"accepts connections":            {false, false, false},
+		"answers, but connections broke": {true, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, accept)
+			list := []*daisyhatchv1.Suspect{{Fingerprint: 1, Crashes: 2, EndedServers: 2, State: daisyhatchv1.SuspectState_SUSPECT_STATE_SUSPECT}}
+			f.tracker.UpdateSuspects(1, list)
+			connected := time.Now()
+			for range 4 {
+				if !c.broken {
+					f.giveUp()
+					continue
+				}
+				run := f.tracker.Begin(liveness.Target(f.server), 1)
+				require.Equal(t, liveness.Reachable, f.checker.Check(t.Context(), f.server, run))
+				run.End()
+			}
+			time.Sleep(550 * time.Millisecond)
+			if c.answers {
+				f.checker.Answered(f.server, connected)
+			}
+			time.Sleep(1300 * time.Millisecond)
+			require.Equal(t, c.clears, f.tracker.Crashes(1) == 0)
+		})
+	}
+}
+
 // The end of a server that another call finds out counts against a request that was given up just before as well.
 func TestGivenUpCallIsStillOnItsServer(t *testing.T) {
 	f := newFixture(t, refuse)
@@ -186,3 +220,21 @@
 	require.Equal(t, 1, f.tracker.Crashes(1))
 	require.Equal(t, 1, f.tracker.Crashes(2))
 }
+
+// A server that ends long after a call was given up has not ended under it, whoever finds out.
+func TestGivenUpCallLeavesItsServer(t *testing.T) {
+	var down atomic.Bool
+	f := newFixture(t, func(ctx context.Context) (net.Conn, error) {
+		if down.Load() {
+			return refuse(ctx)
+		}
+		return accept(ctx)
+	})
+	f.giveUp()
+	time.Sleep(time.Second)
+	down.Store(true)
+	other := f.tracker.Begin(liveness.Target(f.server), 2)
+	require.Equal(t, liveness.Ended, f.checker.Check(t.Context(), f.server, other))
+	require.Zero(t, f.tracker.Crashes(1))
+	require.Equal(t, 1, f.tracker.Crashes(2))
+}
--- a/pkg/liveness/verdict.go
+++ b/pkg/liveness/verdict.go
@@ -20,13 +20,16 @@
 type observation struct {
 	// endedAt is when the call was over: when its connection broke, or settleTime after this VM gave it up.
 	endedAt time.Time
-	// givenUp is true if this VM ended the call.
-	givenUp bool
+	// givenUp is true if this VM ended the call, which it did at givenUpAt.
+	givenUp   bool
+	givenUpAt time.Time
 	// probe is the state that a connection attempt showed since endedAt; empty before the first.
 	probe State
 	// aliveAt is the last sign of life of the server's process: an answer to a call or an announcement. It may be one of the
 	// process that replaced it.
 	aliveAt time.Time
+	// certain is true if that came after a call that was given up, on a connection made before: it is no sign of a successor.
+	certain bool
 	// leaving is true once the server has announced that it leaves.
 	leaving bool
 	// replaced is true once another incarnation is announced in the server's place, which started at born by its own clock.
@@ -38,7 +41,7 @@
 // had been silent, if its successor had started by the time the call was over, or if it had stood still since. Otherwise it
 // was alive after the call.
 func judge(o observation, now time.Time) (state State, final bool) {
-	alive := !o.aliveAt.Before(o.endedAt)
+	alive := o.alive()
 	switch {
 	case o.probe == Ended, o.replaced && o.endedUnder(alive):
 		return Ended, true
@@ -46,7 +49,7 @@
 		return Reachable, true
 	case o.leaving:
 		return Leaving, true
-	case alive && now.Sub(o.endedAt) >= announceTime:
+	case o.certain, alive && now.Sub(o.endedAt) >= announceTime:
 		return Reachable, true
 	}
 	return o.probe, now.Sub(o.endedAt) > returnWindow
@@ -54,12 +57,24 @@
 
 // endedUnder reports whether a server that was replaced had ended under the call; alive is true if it gave a sign of life later.
 func (o observation) endedUnder(alive bool) bool {
+	if o.certain {
+		return false
+	}
 	return o.probe == Silent || !startedAfter(o.born, o.endedAt) || !alive && !startedAfter(o.born, o.endedAt.Add(stallTime))
 }
 
+// answered notes that the server has answered another call, on a connection made at the time since.
+func (o *observation) answered(since, now time.Time) {
+	o.aliveAt = now
+	o.certain = o.certain || o.givenUp && o.alive() && since.Before(o.givenUpAt)
+}
+
+// alive reports whether the server gave a sign of life after the call.
+func (o observation) alive() bool { return !o.aliveAt.Before(o.endedAt) }
+
 // needsProbe reports whether a connection attempt is due: the call is over, and the server has given no sign of life since.
 func (o observation) needsProbe(now time.Time) bool {
-	return o.probe == "" && !now.Before(o.endedAt) && o.aliveAt.Before(o.endedAt)
+	return o.probe == "" && !now.Before(o.endedAt) && !o.alive()
 }
 
 // startedAfter reports whether a server that started at born, by its own clock, certainly did so after t, by this VM's.
--- a/pkg/liveness/verdict_test.go
+++ b/pkg/liveness/verdict_test.go
@@ -26,6 +26,8 @@
 		"accepts, answers, replaced later":       {observation{probe: Reachable, aliveAt: ended.Add(second), replaced: true, born: ended.Add(3 * second)}, 4 * second, Reachable, true},
 		"accepts, stalls, replaced":              {observation{probe: Reachable, replaced: true, born: ended.Add(3 * second)}, 4 * second, Ended, true},
 		"accepts, replaced much later":           {observation{probe: Reachable, replaced: true, born: ended.Add(8 * second)}, 9 * second, Reachable, true},
+		"answers on an older connection":         {observation{aliveAt: ended, certain: true}, 0, Reachable, true},
+		"the same, replaced right after":         {observation{aliveAt: ended, certain: true, replaced: true, born: ended.Add(second / 10)}, second / 4, Reachable, true},
 		"answers, may have been replaced":        {observation{aliveAt: ended}, second / 2, "", false},
 		"answers, nothing is announced":          {observation{aliveAt: ended}, second, Reachable, true},
 		"answers, replaced at the call's end":    {observation{aliveAt: ended, replaced: true, born: ended}, second / 2, Ended, true},
@@ -45,3 +47,27 @@
 		})
 	}
 }
+
+// An answer shows that the server outlived a call that was given up if it comes on a connection from before, and later than the server
+// may have gone on with the call.
+func TestAnswered(t *testing.T) {
+	given := time.UnixMilli(1_000_000)
+	for name, c := range map[string]struct {
+		since, at        time.Duration
+		alive, certainly bool
+	}{
+		"too early":                 {-time.Second, settleTime / 2, false, false},
+		"on an older connection":    {-time.Second, settleTime, true, true},
+		"on a connection made then": {time.Millisecond, settleTime, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := observation{givenUp: true, givenUpAt: given, endedAt: given.Add(settleTime)}
+			o.answered(given.Add(c.since), given.Add(c.at))
+			require.Equal(t, c.alive, o.alive())
+			require.Equal(t, c.certainly, o.certain)
+			broken := observation{endedAt: given}
+			broken.answered(given.Add(c.since), given.Add(c.at))
+			require.False(t, broken.certain, "the VM may have noticed late that the connection broke")
+		})
+	}
+}
--- a/pkg/liveness/watch.go
+++ b/pkg/liveness/watch.go
@@ -23,109 +23,78 @@
 
 // watch holds the calls that ended without an answer, until it is known what became of their servers.
 type watch struct {
-	mu    sync.Mutex
-	calls []*watchedCall
-	// running is true while a goroutine looks at calls.
-	running bool
-	// answers is when each server last answered a call, as far as that happened while running was true.
-	answers map[string]time.Time
+	mu sync.Mutex
+	// calls are the watched calls by the id of their server, count is how many there are.
+	calls map[string][]*watchedCall
+	count int
 }
 
-// watchedCall is one call whose server is watched.
+// watchedCall is one call whose server is watched. The watch's lock guards seen.
 type watchedCall struct {
 	server directory.Server
 	runs   []*quarantine.Run
 	seen   observation
 }
 
-func (w *watch) answered(server string, now time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.running {
-		w.answers[server] = now
-	}
-}
-
-func (w *watch) lastAnswer(server string) time.Time {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.answers[server]
-}
-
 // startWatch watches the server of a call until the verdict is final.
 func (c *Checker) startWatch(call *watchedCall) {
 	w := &c.watch
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if len(w.calls) >= maxWatched {
+	if w.count >= maxWatched {
 		notWatched.Inc()
 		settle(call.runs)
+		for _, r := range call.runs {
+			r.Undecided()
+		}
 		return
 	}
-	w.calls = append(w.calls, call)
-	if !w.running {
-		w.running, w.answers = true, make(map[string]time.Time)
+	if w.count == 0 {
+		w.calls = make(map[string][]*watchedCall)
 		go c.runWatch()
 	}
+	w.calls[call.server.ID] = append(w.calls[call.server.ID], call)
+	w.count++
+}
+
+// Answered records that a server has answered a call, on a connection made at the time since.
+func (c *Checker) Answered(v directory.Server, since time.Time) {
+	now := time.Now()
+	c.watch.mu.Lock()
+	defer c.watch.mu.Unlock()
+	for _, call := range c.watch.calls[v.ID] {
+		call.seen.answered(since, now)
+	}
 }
 
 // runWatch looks at the watched servers until none is left.
 func (c *Checker) runWatch() {
-	for {
+	for left := true; left; {
 		time.Sleep(watchInterval)
-		w := &c.watch
-		w.mu.Lock()
-		calls := w.calls
-		w.calls = nil
-		w.mu.Unlock()
-		left := c.updateAll(calls)
-		w.mu.Lock()
-		w.calls = append(left, w.calls...)
-		if len(w.calls) == 0 {
-			w.running, w.answers = false, nil
-			w.mu.Unlock()
-			return
-		}
-		w.mu.Unlock()
+		c.observe()
+		c.probeDue()
+		left = c.conclude()
 	}
 }
 
-// updateAll looks at what is known of the servers of calls, and returns the calls that are still watched.
-func (c *Checker) updateAll(calls []*watchedCall) []*watchedCall {
-	now := time.Now()
-	for _, call := range calls {
-		c.observe(call)
-	}
-	c.probeDue(calls, now)
-	var left []*watchedCall
-	for _, call := range calls {
-		state, final := judge(call.seen, now)
-		if final && state == Ended {
-			reportCrashes(call.runs)
-		}
-		if call.seen.givenUp && (final || now.Sub(call.seen.endedAt) >= watchInterval) {
-			settle(call.runs)
+// observe notes what is announced of the watched servers now.
+func (c *Checker) observe() {
+	c.watch.mu.Lock()
+	defer c.watch.mu.Unlock()
+	for _, list := range c.watch.calls {
+		for _, call := range list {
+			c.observeCall(call)
 		}
-		if !final {
-			left = append(left, call)
-			continue
-		}
-		metrics.GetOrCreateCounter(fmt.Sprintf(`daisyhatch_liveness_verdicts_total{server=%q,given_up="%t"}`, state, call.seen.givenUp)).Inc()
 	}
-	return left
 }
 
-// observe notes what is known of a call's server now.
-func (c *Checker) observe(call *watchedCall) {
+func (c *Checker) observeCall(call *watchedCall) {
 	o := &call.seen
 	if next, ok := c.successor(call.server); ok {
 		o.replaced, o.born = true, time.UnixMilli(next.Born)
 	} else if current, ok := c.view.Server(call.server.ID); ok && current.Heard.After(o.aliveAt) {
 		o.aliveAt = current.Heard
 	}
-	if at := c.watch.lastAnswer(call.server.ID); at.After(o.aliveAt) {
-		o.aliveAt = at
-	}
 	o.leaving = c.isLeaving(call.server)
 }
 
@@ -136,18 +105,25 @@
 }
 
 // probeDue makes the connection attempts that are due, one for each server.
-func (c *Checker) probeDue(calls []*watchedCall, now time.Time) {
+func (c *Checker) probeDue() {
+	w, now := &c.watch, time.Now()
 	due := make(map[incarnation][]*watchedCall)
-	for _, call := range calls {
-		if _, final := judge(call.seen, now); !final && call.seen.needsProbe(now) {
-			k := incarnation{call.server.ID, call.server.Born}
-			due[k] = append(due[k], call)
+	w.mu.Lock()
+	for _, list := range w.calls {
+		for _, call := range list {
+			if call.seen.needsProbe(now) {
+				k := incarnation{call.server.ID, call.server.Born}
+				due[k] = append(due[k], call)
+			}
 		}
 	}
+	w.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, list := range due {
 		wg.Go(func() {
 			state := c.probe(context.Background(), list[0].server)
+			w.mu.Lock()
+			defer w.mu.Unlock()
 			for _, call := range list {
 				call.seen.probe = state
 			}
@@ -155,3 +131,47 @@
 	}
 	wg.Wait()
 }
+
+// conclude ends the watch of the calls whose verdict is final, and reports whether calls are left.
+func (c *Checker) conclude() bool {
+	w, now := &c.watch, time.Now()
+	var over, ended, survived, undecided []*quarantine.Run
+	w.mu.Lock()
+	for id, list := range w.calls {
+		var left []*watchedCall
+		for _, call := range list {
+			state, final := judge(call.seen, now)
+			if call.seen.givenUp && (final || now.Sub(call.seen.endedAt) >= watchInterval) {
+				over = append(over, call.runs...)
+			}
+			if !final {
+				left = append(left, call)
+				continue
+			}
+			metrics.GetOrCreateCounter(fmt.Sprintf(`daisyhatch_liveness_verdicts_total{server=%q,given_up="%t"}`, state, call.seen.givenUp)).Inc()
+			switch {
+			case state == Ended:
+				ended = append(ended, call.runs...)
+			case state == Reachable && call.seen.givenUp && call.seen.alive():
+				survived = append(survived, call.runs...)
+			default:
+				undecided = append(undecided, call.runs...)
+			}
+		}
+		w.count -= len(list) - len(left)
+		if w.calls[id] = left; len(left) == 0 {
+			delete(w.calls, id)
+		}
+	}
+	left := w.count > 0
+	w.mu.Unlock()
+	for _, r := range survived {
+		r.Survived()
+	}
+	for _, r := range undecided {
+		r.Undecided()
+	}
+	reportCrashes(ended)
+	settle(over)
+	return left
+}
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -109,12 +109,14 @@
 }
 
 // GiveUp records that this VM closes the request's connection before the answer is complete. The server may go on with the
-// request for a while, which Settled ends; End has no effect any more.
+// request for a while, which Settled ends; End has no effect any more. What became of the server is told by Crashed, Survived or
+// Undecided.
 func (r *Run) GiveUp() {
 	r.tracker.mu.Lock()
 	defer r.tracker.mu.Unlock()
 	if r.ended == 0 {
 		r.ended, r.givenUp = time.Since(r.tracker.start), true
+		r.tracker.state.survivals.await(r.request, serverKeyOf(r.target), r.ended)
 	}
 }
 
@@ -125,6 +127,26 @@
 	r.tracker.state.end(serverKeyOf(r.target), r.request.id)
 }
 
+// Survived records that the server went on well after the request was given up there. Some such runs clear a suspect on all
+// VMs.
+func (r *Run) Survived() {
+	t := r.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state.survivals.decided(r.request)
+	if t.state.markSurvived(r.request.fingerprint, time.Since(t.start)) {
+		t.opts.Log.Info("suspect left servers well", "fingerprint", formatFingerprint(r.request.fingerprint))
+		t.shareServed([]uint64{r.request.fingerprint})
+	}
+}
+
+// Undecided records that it can't be found out what became of the server.
+func (r *Run) Undecided() {
+	r.tracker.mu.Lock()
+	defer r.tracker.mu.Unlock()
+	r.tracker.state.survivals.decided(r.request)
+}
+
 // End records that the request is no longer on the server. It may be called more than once.
 func (r *Run) End() {
 	r.tracker.mu.Lock()
@@ -150,9 +172,26 @@
 	}
 	t.state.endTrials(r.request)
 	delete(t.state.leases, r.request.fingerprint)
-	c, err := t.state.serverCrashed(r.target, r.request, at, time.Since(t.start))
+	t.state.survivals.decided(r.request)
+	c, held, err := t.state.serverCrashed(r.target, r.request, at, time.Since(t.start))
+	for _, h := range held {
+		time.AfterFunc(verdictTime, func() { t.countHeld(h) })
+	}
+	t.send(serverKeyOf(r.target), c, at, err)
+}
+
+// countHeld counts a crash that was held back.
+func (t *Tracker) countHeld(h heldCrash) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c, err := t.state.countHeld(h, time.Since(t.start))
+	t.send(h.key, c, h.at, err)
+}
+
+// send starts the report of a crash that was counted on this VM; c is nil if there is nothing to report. t.mu must be held.
+func (t *Tracker) send(k serverKey, c *daisyhatchv1.CrashCommand, at time.Duration, err error) {
 	if err != nil {
-		t.opts.Log.Error(err, "crash can't be counted", "server", r.target.Server, "incarnation", r.target.Incarnation)
+		t.opts.Log.Error(err, "crash can't be counted", "server", k.server, "incarnation", k.incarnation)
 	}
 	if c == nil || t.opts.Reporter == nil {
 		return
--- a/pkg/quarantine/tracker_state.go
+++ b/pkg/quarantine/tracker_state.go
@@ -47,6 +47,7 @@
 	// servedOrder holds its keys, oldest first.
 	lastServed  map[uint64]time.Duration
 	servedOrder []uint64
+	survivals   survivals
 	parts       partsState
 	// leases holds this VM's right to send a request of which one copy at a time may run, by fingerprint.
 	leases map[uint64]*RunLease
@@ -72,7 +73,7 @@
 func newTrackerState() trackerState {
 	return trackerState{
 		inFlight: newInFlight(), local: suspects.New(), shared: make(map[uint64]sharedSuspect), lastServed: make(map[uint64]time.Duration),
-		lastCounted: make(map[uint64]time.Duration), parts: newPartsState(), leases: make(map[uint64]*RunLease),
+		lastCounted: make(map[uint64]time.Duration), survivals: newSurvivals(), parts: newPartsState(), leases: make(map[uint64]*RunLease),
 	}
 }
 
@@ -135,47 +136,94 @@
 	return f
 }
 
-// serverCrashed records the crash of a server that request f detected at the time at, and returns the report to send. It
-// returns nil when the crash was reported before, or when all requests in flight there had been served lately and say
-// nothing of parts of prompts. Having been served excuses a request from one crash only. Errors are those of
-// suspect.Table.
-func (m *trackerState) serverCrashed(t engine.Target, f runningRequest, at, now time.Duration) (*daisyhatchv1.CrashCommand, error) {
+// crashedRequest is a request that was on a server when it crashed.
+type crashedRequest struct {
+	fingerprint uint64
+	// known and localCrashes are as in runningRequest.
+	known        *daisyhatchv1.CrashRun
+	localCrashes uint32
+}
+
+// heldCrash is a crash that counts against a request only once it is known what became of other servers on which the request was
+// given up.
+type heldCrash struct {
+	key     serverKey
+	request crashedRequest
+	at      time.Duration
+}
+
+// serverCrashed records the crash of a server that request f detected at the time at, and returns the report to send, and what is
+// held back. The report is nil when the crash was reported before, or when all requests in flight there are excused or held
+// back, and say nothing of parts of prompts. Errors are those of suspect.Table.
+func (m *trackerState) serverCrashed(t engine.Target, f runningRequest, at, now time.Duration) (*daisyhatchv1.CrashCommand, []heldCrash, error) {
 	c, first := m.reportFor(serverKeyOf(t), f)
 	if !first {
-		return nil, nil
+		return nil, nil, nil
+	}
+	var counted []crashedRequest
+	var held []heldCrash
+	for i, f := range c.command.GetFingerprints() {
+		r := crashedRequest{f, c.command.GetRuns()[i], c.localCrashes[i]}
+		switch {
+		case m.excused(f, now):
+		case m.survivals.undecided(f, c.key, now):
+			held = append(held, heldCrash{c.key, r, at})
+		default:
+			counted = append(counted, r)
+		}
 	}
 	unanswered := m.unanswered(c.key, f)
+	if len(counted) == 0 && len(unanswered) == 0 {
+		return nil, held, nil
+	}
+	report, err := m.countCrash(c.key, counted, unanswered, at, now)
+	return report, held, err
+}
+
+// excused reports whether a crash doesn't count against a request: it had been served lately, which excuses it from one crash
+// only, or its servers outlived other runs; see survivals.
+func (m *trackerState) excused(fingerprint uint64, now time.Duration) bool {
+	if _, ok := m.lastServed[fingerprint]; ok {
+		m.dropServed(fingerprint)
+		return true
+	}
+	return m.survivals.excuses(fingerprint, now)
+}
+
+// countHeld counts a crash that was held back, unless the request is excused by now, and returns the report to send.
+func (m *trackerState) countHeld(h heldCrash, now time.Duration) (*daisyhatchv1.CrashCommand, error) {
+	if m.excused(h.request.fingerprint, now) {
+		return nil, nil
+	}
+	return m.countCrash(h.key, []crashedRequest{h.request}, nil, h.at, now)
+}
+
+// countCrash counts a crash against requests on this VM, and returns the report of it.
+func (m *trackerState) countCrash(
+	k serverKey, requests []crashedRequest, unanswered []*daisyhatchv1.UnansweredRequest, at, now time.Duration,
+) (*daisyhatchv1.CrashCommand, error) {
 	report := &daisyhatchv1.CrashCommand{
-		Server: c.key.server, ServerIncarnation: c.key.incarnation, Unanswered: unanswered, Answers: m.parts.answersFor(unanswered, at),
+		Server: k.server, ServerIncarnation: k.incarnation, Unanswered: unanswered, Answers: m.parts.answersFor(unanswered, at),
 	}
 	localReport := &daisyhatchv1.CrashCommand{
 		Server: report.Server, ServerIncarnation: report.ServerIncarnation, Unanswered: report.Unanswered, Answers: report.Answers,
 		AgeMs: (now - at).Milliseconds(),
 	}
-	for i, f := range c.command.GetFingerprints() {
-		if _, ok := m.lastServed[f]; ok {
-			m.dropServed(f)
-			continue
-		}
-		report.Fingerprints = append(report.Fingerprints, f)
-		report.Runs = append(report.Runs, c.command.GetRuns()[i])
-		localReport.Runs = append(localReport.Runs, &daisyhatchv1.CrashRun{KnownCrashes: c.localCrashes[i]})
-	}
-	if len(report.Fingerprints) == 0 && len(unanswered) == 0 {
-		return nil, nil
-	}
-	before := make([]int, len(report.Fingerprints))
-	for i, f := range report.Fingerprints {
-		before[i] = m.crashCount(f)
+	before := make([]int, len(requests))
+	for i, r := range requests {
+		before[i] = m.crashCount(r.fingerprint)
+		report.Fingerprints = append(report.Fingerprints, r.fingerprint)
+		report.Runs = append(report.Runs, r.known)
+		localReport.Runs = append(localReport.Runs, &daisyhatchv1.CrashRun{KnownCrashes: r.localCrashes})
 	}
 	localReport.Fingerprints = report.Fingerprints
 	if _, err := m.local.Crash(localReport, now.Milliseconds()); err != nil {
 		return nil, err
 	}
 	m.local.CrashParts(localReport, now.Milliseconds())
-	for i, f := range report.Fingerprints {
-		if m.crashCount(f) > before[i] {
-			m.noteCounted(f, now)
+	for i, r := range requests {
+		if m.crashCount(r.fingerprint) > before[i] {
+			m.noteCounted(r.fingerprint, now)
 		}
 	}
 	return report, nil
@@ -211,7 +259,7 @@
 // listChanges is what a new list of suspects changed.
 type listChanges struct {
 	// convicted are the requests that are refused from now on, cleared those that no longer are. served are suspects
-	// that this VM served within servedGracePeriod, which the other VMs must be told.
+	// that this VM served within servedGracePeriod, or that left servers well, which the other VMs must be told.
 	convicted, cleared, served []uint64
 	// refusedParts and acceptedParts are the parts of prompts that are refused from now on, and those that no longer are.
 	// answered are suspected parts, with the time of an answer that this VM has seen and the other VMs must be told.
@@ -241,7 +289,7 @@
 		if s.GetPart() || m.shared[f].version > version {
 			continue
 		}
-		if at, ok := m.lastServed[f]; ok && now-at < servedGracePeriod {
+		if at, ok := m.lastServed[f]; ok && now-at < servedGracePeriod || m.survivals.clears(f, now) {
 			n.served = append(n.served, f)
 			continue
 		}
@@ -258,14 +306,27 @@
 	return n
 }
 
-// markServed records that a request was served. It reports whether the other VMs must be told, since they suspect it.
-func (m *trackerState) markServed(fingerprint uint64, now time.Duration) bool {
+// clear drops what is known of a suspect. It reports whether the other VMs must be told, since they suspect it.
+func (m *trackerState) clear(fingerprint uint64) bool {
 	s := m.shared[fingerprint]
 	delete(m.shared, fingerprint)
 	delete(m.lastCounted, fingerprint)
 	if m.local.Get(fingerprint) != nil {
 		m.local.Clear([]uint64{fingerprint})
 	}
+	return suspects.IsShared(s.Suspect)
+}
+
+// markSurvived records that a server outlived a run of a request that was given up. It reports whether the request is cleared by
+// it and the other VMs must be told.
+func (m *trackerState) markSurvived(fingerprint uint64, now time.Duration) bool {
+	m.survivals.note(fingerprint, now)
+	return m.survivals.clears(fingerprint, now) && m.clear(fingerprint)
+}
+
+// markServed records that a request was served. It reports whether the other VMs must be told, since they suspect it.
+func (m *trackerState) markServed(fingerprint uint64, now time.Duration) bool {
+	suspected := m.clear(fingerprint)
 	_, servedBefore := m.lastServed[fingerprint]
 	m.lastServed[fingerprint] = now
 	if !servedBefore {
@@ -275,7 +336,7 @@
 			m.servedOrder = slices.Delete(m.servedOrder, 0, 1)
 		}
 	}
-	return suspects.IsShared(s.Suspect)
+	return suspected
 }
 
 func (m *trackerState) dropServed(fingerprint uint64) {
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -195,7 +195,7 @@
 	}
 	res.body = body
 	x.firstByte = time.Since(x.start)
-	x.recordAnswer(c, time.Since(res.start))
+	x.recordAnswer(c, a, time.Since(res.start))
 	if a.Delimited {
 		x.serverRun.AnswerBegun()
 	}
@@ -235,12 +235,12 @@
 	}
 }
 
-func (x *exchange) recordAnswer(c fleet.Candidate, first time.Duration) {
+func (x *exchange) recordAnswer(c fleet.Candidate, a *upstream.Answer, first time.Duration) {
 	r := x.relay
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	x.begun = true
-	r.liveness.Answered(c.Server)
+	r.liveness.Answered(c.Server, a.ConnectedAt)
 	r.health.recordAnswer(x.service.Name, c.ID, first, time.Now())
 	if x.placed != nil {
 		r.placements.PrefillDone(x.placed)
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -33,7 +33,7 @@
 		if len(event) > 0 {
 			if firstEvent {
 				firstEvent = false
-				x.recordAnswer(c, time.Since(res.start))
+				x.recordAnswer(c, res.answer, time.Since(res.start))
 				x.serverRun.AnswerBegun()
 				x.inputs.release()
 				if !x.headSent {
--- a/pkg/stagecall/pool.go
+++ b/pkg/stagecall/pool.go
@@ -232,7 +232,7 @@
 	var e *upstream.Error
 	switch sent := errors.As(err, &e) && e.Sent; {
 	case err == nil:
-		p.runner.liveness.Answered(c.Server.record())
+		p.runner.liveness.Answered(c.Server.record(), c.connectedAt)
 	case sent && errors.Is(err, context.DeadlineExceeded):
 		for _, r := range runs {
 			r.GiveUp()
--- a/pkg/stagecall/scheduler.go
+++ b/pkg/stagecall/scheduler.go
@@ -76,6 +76,8 @@
 	Expected time.Duration
 	// inputsRead is true once the call has run for inputReadTime and its inputs count as read. The pool's lock guards it.
 	inputsRead bool
+	// connectedAt is when the connection was made on which the call was answered.
+	connectedAt time.Time
 	// serverEnded is true if the server crashed during the call.
 	serverEnded bool
 	// overLimit is true if the server's limit left no room for the call after its server was chosen.
--- a/pkg/stagecall/send.go
+++ b/pkg/stagecall/send.go
@@ -58,6 +58,7 @@
 		// Closing only returns or drops the connection.
 		_ = a.Body.Close()
 	}()
+	c.connectedAt = a.ConnectedAt
 	meta := d.Answer(a.Status, a.Header)
 	p.runner.applyNotice(c.Server.record(), meta.Notice)
 	p.runner.limiter.Record(c.Server.record(), p.service, &meta, false, c.Begun)
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -109,6 +109,8 @@
 	Body   io.ReadCloser
 	// Length is the length of the body in bytes, or -1 when it is not known in advance.
 	Length int64
+	// ConnectedAt is when the connection was made on which the answer came.
+	ConnectedAt time.Time
 	// Delimited is false when only the end of the connection ends the body, so that a cut-off body can't be recognised.
 	Delimited bool
 
@@ -186,6 +188,8 @@
 	idleUntil time.Time
 	// reused is true once the connection has been in the pool.
 	reused bool
+	// madeAt is when the connection was made.
+	madeAt time.Time
 	// calls is the number of calls made on the connection, refused the ids of the latest ones that the server refused.
 	calls   int
 	refused []string
@@ -314,7 +318,7 @@
 		return nil, err
 	}
 	src := &headLimiter{Conn: c}
-	return &conn{Conn: c, address: address, limiter: src, reader: bufio.NewReaderSize(src, readBufferBytes)}, nil
+	return &conn{Conn: c, address: address, limiter: src, madeAt: time.Now(), reader: bufio.NewReaderSize(src, readBufferBytes)}, nil
 }
 
 // countDial counts an attempt to connect by its result.
@@ -469,7 +473,7 @@
 	x.body = res.Body
 	x.keepTime = connKeepTime(res)
 	delimited := res.ContentLength >= 0 || len(res.TransferEncoding) > 0
-	return &Answer{Status: res.StatusCode, Header: res.Header, Body: x, Length: res.ContentLength, Delimited: delimited, exchange: x}
+	return &Answer{Status: res.StatusCode, Header: res.Header, Body: x, Length: res.ContentLength, ConnectedAt: x.conn.madeAt, Delimited: delimited, exchange: x}
 }
 
 // connKeepTime returns how long the connection may be kept idle after an answer; 0 or less closes it.
