fleet, origin: a VM that is out of step takes up no stream on its own knowledge

What callers saw (other operators): during a release one entry VM was cut off or stood still for some seconds while servers of a new software version joined. Streams that had begun there through other VMs were taken up at that VM and went on at a server of another version.

Cause: it can happen here. Where no control VM answered within 300 ms, a VM decided from its own directory for 10 s after the last confirmation, by its steady clock, which stands still while a machine is suspended. It knew one version, and went on there. The class: old knowledge is taken for complete because nothing contradicts it.

Change: without an answer from a control VM the take-up is refused at once, as not run, with a short Retry-After, since another VM can serve it. A VM's own directory is complete only if the group confirmed its state without a gap of 2 s for all of the 30 s in which a stream may be taken up, by both clocks.

Ruled out: a shorter time than 10 s (a version joins in milliseconds); asking other entry VMs (they may be gone, and they know no more).

Tests: TestUnknownStreamGoesOnWhileThereIsOneVersion asserted the fault: its case "no control VM answers" wanted the stream to go on. It wants a refusal now, which is stricter; two cases of a VM that was cut off in between are new. TestContactHeldFor holds what a gap is. On the code before it passed with the former expectation: the stream went on at the only version known.

--- a/pkg/fleet/origins.go
+++ b/pkg/fleet/origins.go
@@ -28,9 +28,6 @@
 	maxOriginsKept = 65_536
 	// findOriginTimeout bounds the question where a stream began.
 	findOriginTimeout = 300 * time.Millisecond
-	// ownHistoryContact is how long ago the control group may have confirmed the state of a VM that relies on its own
-	// knowledge of the versions in service.
-	ownHistoryContact = 10 * time.Second
 )
 
 var originsReported = metrics.NewCounter("daisyhatch_stream_origins_reported_total")
@@ -150,16 +147,20 @@
 }
 
 // Find returns where the stream goes on whose first event a caller's attempt brought; attempt is empty when the caller
-// doesn't say. It returns false when that isn't known and several versions come into question. It asks the control VMs
-// unless the stream began at this VM.
-func (o *Origins) Find(ctx context.Context, attempt, service string) (origin.Origin, bool) {
+// doesn't say. It asks the control VMs unless the stream began at this VM, and doesn't decide without them: a VM that is cut off,
+// or has stood still, may not know of the version that began the stream. Errors are origin.ErrUnconfirmed and
+// origin.ErrUnknown.
+func (o *Origins) Find(ctx context.Context, attempt, service string) (origin.Origin, error) {
 	stream, now, state := origin.StreamID(attempt), time.Now(), o.follower.opts.State
-	own := state.answerOrigin(stream, service, state.Current() && state.ContactAge(now) < ownHistoryContact, now)
+	own := state.answerOrigin(stream, service, state.followedFor(origin.MaxTakeUp, now), now)
 	if own.Known {
-		return own.Origin, true
+		return own.Origin, nil
 	}
-	answers := append(o.ask(ctx, stream, service), own)
-	return origin.Decide(service, answers)
+	answers := o.ask(ctx, stream, service)
+	if len(answers) == 0 {
+		return origin.Origin{}, origin.ErrUnconfirmed
+	}
+	return origin.Decide(service, append(answers, own))
 }
 
 // ask asks all control VMs about a stream, and returns their answers once one of them knows it, or all have answered.
--- a/pkg/fleet/origins_test.go
+++ b/pkg/fleet/origins_test.go
@@ -27,6 +27,7 @@
 	s.startedAt = time.Now().Add(-origin.MaxTakeUp)
 	s.Merge(servers)
 	s.confirm(time.Now())
+	s.contact.since = s.startedAt
 	return s
 }
 
@@ -74,13 +75,13 @@
 
 	other := newOriginEntry(t, NewState(StateOptions{}), address).Origins()
 	for attempt, version := range map[string]string{"first": "old", "second": "new"} {
-		o, ok := other.Find(t.Context(), attempt, "s")
-		require.True(t, ok)
+		o, err := other.Find(t.Context(), attempt, "s")
+		require.NoError(t, err)
 		require.Equal(t, origin.Origin{Service: "s", Version: version}, o)
 	}
 	for _, attempt := range []string{"unheard of", ""} {
-		_, ok := other.Find(t.Context(), attempt, "s")
-		require.False(t, ok, "two versions come into question")
+		_, err := other.Find(t.Context(), attempt, "s")
+		require.ErrorIs(t, err, origin.ErrUnknown, "two versions come into question")
 	}
 
 	fresh, freshAddress := newOriginControl(t, NewState(StateOptions{}))
@@ -90,7 +91,8 @@
 	require.Eventually(t, func() bool { return fresh.knows("first") && fresh.knows("second") }, 5*time.Second, time.Millisecond)
 }
 
-// A stream of which nobody knows goes on while only one version has been in service, with and without control VMs.
+// A stream of which nobody knows goes on while only one version has been in service, as far as a control VM tells: one that joined
+// while this VM was cut off or stood still is not known here.
 func TestUnknownStreamGoesOnWhileThereIsOneVersion(t *testing.T) {
 	old := versionServer("a", "old")
 	left := versionServer("b", "left")
@@ -101,25 +103,29 @@
 	_, restarted := newOriginControl(t, NewState(StateOptions{}))
 	justStarted := func() *State { return NewState(StateOptions{}) }
 	cutOff := longKnown(old)
-	cutOff.confirm(time.Now().Add(-ownHistoryContact))
+	cutOff.contact = contact{}
+	cutOff.confirm(time.Now().Add(-2 * origin.MaxTakeUp))
+	cutOff.confirm(time.Now())
 	for name, tc := range map[string]struct {
 		state     *State
 		addresses []string
-		want      bool
+		err       error
 	}{
-		"VM has just started":                          {justStarted(), []string{one}, true},
-		"a version has just left":                      {justStarted(), []string{afterRelease}, false},
-		"one control VM knows of a version that left":  {longKnown(old), []string{one, afterRelease}, false},
-		"all control VMs have just started":            {justStarted(), []string{restarted}, false},
-		"control VMs have just started, VM has not":    {longKnown(old), []string{restarted}, true},
-		"no control VM answers":                        {longKnown(old), []string{"127.0.0.1:1"}, true},
-		"no control VM answers, VM has just started":   {justStarted(), []string{"127.0.0.1:1"}, false},
-		"no control VM answers, VM cut off for longer": {cutOff, []string{"127.0.0.1:1"}, false},
+		"VM has just started":                          {justStarted(), []string{one}, nil},
+		"a version has just left":                      {justStarted(), []string{afterRelease}, origin.ErrUnknown},
+		"one control VM knows of a version that left":  {longKnown(old), []string{one, afterRelease}, origin.ErrUnknown},
+		"all control VMs have just started":            {justStarted(), []string{restarted}, origin.ErrUnknown},
+		"control VMs have just started, VM has not":    {longKnown(old), []string{restarted}, nil},
+		"the same, VM was cut off in between":          {cutOff, []string{restarted}, origin.ErrUnknown},
+		"VM was cut off in between":                    {cutOff, []string{one}, nil},
+		"no control VM answers":                        {longKnown(old), []string{"127.0.0.1:1"}, origin.ErrUnconfirmed},
+		"no control VM answers, VM has just started":   {justStarted(), []string{"127.0.0.1:1"}, origin.ErrUnconfirmed},
+		"no control VM answers, VM cut off for longer": {cutOff, []string{"127.0.0.1:1"}, origin.ErrUnconfirmed},
 	} {
 		t.Run(name, func(t *testing.T) {
-			o, ok := newOriginEntry(t, tc.state, tc.addresses...).Origins().Find(t.Context(), "unheard of", "s")
-			require.Equal(t, tc.want, ok)
-			if ok {
+			o, err := newOriginEntry(t, tc.state, tc.addresses...).Origins().Find(t.Context(), "unheard of", "s")
+			require.ErrorIs(t, err, tc.err)
+			if err == nil {
 				require.Equal(t, origin.Origin{Service: "s", Version: "old"}, o)
 			}
 		})
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -38,10 +38,10 @@
 	changes uint64
 	// stamps are the change counts at which each server last changed, last announced itself to this VM, and was last
 	// heard of.
-	stamps      [stampKinds]map[string]uint64
-	changed     chan struct{}
-	entries     entryTable
-	confirmedAt time.Time
+	stamps  [stampKinds]map[string]uint64
+	changed chan struct{}
+	entries entryTable
+	contact contact
 	// holdoffs are the notices in servers' answers to this VM that they accept no calls.
 	holdoffs *holdoff.Tracker
 	// limits are the request rates to which servers limit all VMs together, and sends counts this VM's requests by server.
@@ -114,21 +114,28 @@
 func (s *State) Current() bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return !s.confirmedAt.IsZero()
+	return !s.contact.last.IsZero()
 }
 
 // ContactAge returns the time since the control group last confirmed the state.
 func (s *State) ContactAge(now time.Time) time.Duration {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return now.Sub(s.confirmedAt)
+	return now.Sub(s.contact.last)
 }
 
 // confirm records that the control group confirmed the state.
 func (s *State) confirm(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.confirmedAt = now
+	s.contact.confirmed(now, wallTime(now))
+}
+
+// followedFor reports whether the control group has confirmed the state all the time for d, so that no change was missed.
+func (s *State) followedFor(d time.Duration, now time.Time) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.contact.heldFor(d, now, wallTime(now))
 }
 
 // apply applies a replicated state unless an equal or newer one is known, and reports whether it did. The version of
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -3,6 +3,7 @@
 package origin
 
 import (
+	"errors"
 	"slices"
 	"time"
 
@@ -79,14 +80,22 @@
 	Complete bool
 }
 
+// Errors of this package.
+var (
+	// ErrUnconfirmed means that this VM can't find out where a stream began, while another one may.
+	ErrUnconfirmed = errors.New("origin: no control VM tells which software version began the stream")
+	// ErrUnknown means that a stream may have begun at more than one version, or that nobody has known the service for
+	// MaxTakeUp.
+	ErrUnknown = errors.New("origin: it isn't known which software version began the stream")
+)
+
 // Decide returns where a stream of a service goes on, from the answers of several VMs: at its origin if one of them knows it,
-// and else at the only version, if no VM knows of another one and one VM would. It returns false when the stream may have
-// begun at more than one version.
-func Decide(service string, answers []Answer) (Origin, bool) {
+// and else at the only version, if no VM knows of another one and one VM would. Otherwise it returns ErrUnknown.
+func Decide(service string, answers []Answer) (Origin, error) {
 	versions, complete := []string(nil), false
 	for _, a := range answers {
 		if a.Known {
-			return a.Origin, true
+			return a.Origin, nil
 		}
 		complete = complete || a.Complete
 		for _, v := range a.Versions {
@@ -96,7 +105,7 @@
 		}
 	}
 	if !complete || len(versions) != 1 {
-		return Origin{}, false
+		return Origin{}, ErrUnknown
 	}
-	return Origin{Service: service, Version: versions[0]}, true
+	return Origin{Service: service, Version: versions[0]}, nil
 }
--- a/pkg/origin/origin_test.go
+++ b/pkg/origin/origin_test.go
@@ -28,11 +28,13 @@
 		"no answer":                                  {nil, "", false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			o, ok := Decide("s", tc.answers)
-			require.Equal(t, tc.ok, ok)
-			if ok {
-				require.Equal(t, Origin{"s", tc.want}, o)
+			o, err := Decide("s", tc.answers)
+			if !tc.ok {
+				require.ErrorIs(t, err, ErrUnknown)
+				return
 			}
+			require.NoError(t, err)
+			require.Equal(t, Origin{"s", tc.want}, o)
 		})
 	}
 }
--- a/pkg/relay/origin.go
+++ b/pkg/relay/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -18,13 +19,14 @@
 	// Began records that the first event of a caller's attempt comes from a server with this origin.
 	Began(attempt string, o origin.Origin)
 	// Find returns where the stream goes on whose first event a caller's attempt brought; attempt is empty when the caller
-	// doesn't say. It returns false when that isn't known and several versions come into question.
-	Find(ctx context.Context, attempt, service string) (origin.Origin, bool)
+	// doesn't say. Errors are origin.ErrUnconfirmed and origin.ErrUnknown.
+	Find(ctx context.Context, attempt, service string) (origin.Origin, error)
 }
 
 var (
-	streamsUnknown = metrics.NewCounter(`daisyhatch_relay_streams_not_taken_up_total{reason="unknown"}`)
-	streamsOrphans = metrics.NewCounter(`daisyhatch_relay_streams_not_taken_up_total{reason="version gone"}`)
+	streamsUnknown     = metrics.NewCounter(`daisyhatch_relay_streams_not_taken_up_total{reason="unknown"}`)
+	streamsUnconfirmed = metrics.NewCounter(`daisyhatch_relay_streams_not_taken_up_total{reason="control VMs silent"}`)
+	streamsOrphans     = metrics.NewCounter(`daisyhatch_relay_streams_not_taken_up_total{reason="version gone"}`)
 )
 
 // resumable reports whether the request's stream may go on at another server.
@@ -36,10 +38,15 @@
 	if x.call.ResumeAfter == "" || !x.resumable() {
 		return true
 	}
-	o, ok := x.relay.opts.Origins.Find(x.req.Context(), x.call.Resumes, x.service.Name)
-	if !ok {
+	o, err := x.relay.opts.Origins.Find(x.req.Context(), x.call.Resumes, x.service.Name)
+	switch {
+	case errors.Is(err, origin.ErrUnconfirmed):
+		streamsUnconfirmed.Inc()
+		x.refuse(http.StatusServiceUnavailable, minRetryAfter, err.Error())
+		return false
+	case err != nil:
 		streamsUnknown.Inc()
-		x.refuse(http.StatusServiceUnavailable, origin.MaxTakeUp, "it isn't known which software version began the stream")
+		x.refuse(http.StatusServiceUnavailable, origin.MaxTakeUp, err.Error())
 		return false
 	}
 	x.origin = &o
