relay, upstream: an answer without a length that stops after its head isn't whole

What callers saw (other operators): a server stopped in the middle of its answer's head and closed; they got a 200 with an empty or short body, framed as whole.

Found: a server that stops after any byte within its head gets no 200 through, with a length, with chunks and without, after a 1xx, with bare line feeds, on idempotent routes, routes at most once and streams, closed and reset, directly and through another VM. One that stops right after the head of an answer without a length does: the caller got an empty 200, stated as whole by our Content-Length. As the continuation of a stream that broke off, such a head alone ended the stream as if it were complete.

Cause: the end of the connection ends a body without a length, and an empty one was taken for whole. The class: the absence of bytes read as a complete message.

Change: a success without length, chunks and body is a send whose outcome is unknown, and a stream without an event that ends with its connection broke off. An empty answer that states its length, one in chunks, and that to a HEAD request are whole as before.

Ruled out: refusing all answers without a length (they are allowed, and whole when the connection closes in order). A cut within the body of such an answer can't be told from its end; it is open, unless the connection is reset.

--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -35,6 +35,10 @@
 // errRequestSuspect stops a send of a request that became suspected of crashing servers after its server was chosen.
 var errRequestSuspect = errors.New("relay: servers ended under this request")
 
+// errNothingAfterHead means that a server closed the connection right after the head of an answer that has no length, so that it may
+// have stopped in the middle.
+var errNothingAfterHead = errors.New("relay: the answer has neither a length nor a body")
+
 // errRepeatedRefusal means that a refusal may be that of an earlier request, so that this one may run.
 var errRepeatedRefusal = errors.New("relay: the refusal may be that of an earlier request on the connection")
 
@@ -183,11 +187,8 @@
 		res.status = sendAnswered
 		return
 	}
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBody+1))
-	if err != nil || len(body) > maxBufferedBody {
-		if err == nil {
-			err = errors.New("the answer is too large")
-		}
+	body, err := readWhole(a, success)
+	if err != nil {
 		res.status, res.err = sendOutcomeUnknown, err
 		x.logUnanswered(c, res)
 		x.recordEnd(c, true, true)
@@ -212,6 +213,21 @@
 	}
 }
 
+// readWhole reads the body of an answer that is not a stream. It returns an error if the answer is too large, or not whole as far as
+// can be known.
+func readWhole(a *upstream.Answer, success bool) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBody+1))
+	switch {
+	case err != nil:
+		return nil, err
+	case len(body) > maxBufferedBody:
+		return nil, errors.New("the answer is too large")
+	case len(body) == 0 && !a.Delimited && success:
+		return nil, errNothingAfterHead
+	}
+	return body, nil
+}
+
 // recordNotice records what the server reported about itself in an answer: that it is leaving, or wants no calls for
 // some time.
 func (x *exchange) recordNotice(c fleet.Candidate, n holdoff.Notice) {
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -48,6 +48,9 @@
 				return true
 			}
 		}
+		if errors.Is(err, io.EOF) && firstEvent && !res.answer.Delimited {
+			err = errNothingAfterHead
+		}
 		if errors.Is(err, io.EOF) {
 			res.close()
 			x.recordEnd(c, false, false)
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -111,7 +111,8 @@
 	Length int64
 	// ConnectedAt is when the connection was made on which the answer came.
 	ConnectedAt time.Time
-	// Delimited is false when only the end of the connection ends the body, so that a cut-off body can't be recognised.
+	// Delimited is false when only the end of the connection ends the body, so that a cut-off body can't be recognised. The
+	// answer to a HEAD request has no body.
 	Delimited bool
 
 	exchange *exchange
@@ -472,7 +473,7 @@
 func (x *exchange) newAnswer(res *http.Response) *Answer {
 	x.body = res.Body
 	x.keepTime = connKeepTime(res)
-	delimited := res.ContentLength >= 0 || len(res.TransferEncoding) > 0
+	delimited := res.ContentLength >= 0 || len(res.TransferEncoding) > 0 || res.Request.Method == http.MethodHead
 	return &Answer{Status: res.StatusCode, Header: res.Header, Body: x, Length: res.ContentLength, ConnectedAt: x.conn.madeAt, Delimited: delimited, exchange: x}
 }
 
