relay, daemon: a VM that stops takes what ends in time, and answers what doesn't

What callers saw (other operators): in a planned stop of an entry VM requests that came late were taken and passed on, and cut at the end of the grace with no answer, among them requests that may not be repeated.

It can happen here.

Cause: what was passed on was left to run until the connections were closed, whatever its time; only requests that were sent to no server were refused before. The class: work is accepted without a look at the time that is left for it.

Change: from the signal on a request is refused at once, as not run, unless it ends before the VM cuts off: at its deadline, or because requests of its route usually do (smoothed mean and deviation of answered ones). The same is asked before each send, after stages and for repeats. 250 ms before the cut, and at a second signal, requests of which the caller has got nothing are ended and answered: 503 if they have not run, 502 otherwise. A stream that has begun goes on.

Ruled out: refusing everything from the signal on (the balancer needs seconds to notice, and most requests end in milliseconds); passing a shorter deadline to the server (the caller's time isn't over).

--- a/internal/demo/cluster/process.go
+++ b/internal/demo/cluster/process.go
@@ -61,6 +61,12 @@
 // Stop ends the process in order.
 func (p *Process) Stop() error { return p.signalAndWait(syscall.SIGTERM) }
 
+// Terminate asks the process to end in order, and doesn't wait for it.
+func (p *Process) Terminate() error { return p.signal(syscall.SIGTERM) }
+
+// Hangup tells the process that its settings file may have changed.
+func (p *Process) Hangup() error { return p.signal(syscall.SIGHUP) }
+
 // Pause freezes the process.
 func (p *Process) Pause() error { return p.signal(syscall.SIGSTOP) }
 
--- a/pkg/daemon/fleet.go
+++ b/pkg/daemon/fleet.go
@@ -473,6 +473,27 @@
 	return f.callers.Start(ctx)
 }
 
+// withFinalAnswers returns a context that ends with ctx at its deadline, and relay.FinalAnswerTime after a second signal ends
+// ctx: then requests without an answer are ended first.
+func (f *fleetEntry) withFinalAnswers(ctx context.Context) (context.Context, context.CancelFunc) {
+	out, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	release := func() { cancel(nil) }
+	if end, ok := ctx.Deadline(); ok {
+		answers := time.AfterFunc(time.Until(end)-relay.FinalAnswerTime, f.relay.EndUnanswered)
+		refuse := time.AfterFunc(time.Until(end)-refuseBeforeStop, f.relay.RefuseUnsent)
+		release = func() { answers.Stop(); refuse.Stop(); cancel(nil) }
+	}
+	context.AfterFunc(ctx, func() {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			cancel(context.Cause(ctx))
+			return
+		}
+		f.relay.EndUnanswered()
+		time.AfterFunc(relay.FinalAnswerTime, func() { cancel(context.Cause(ctx)) })
+	})
+	return out, release
+}
+
 // refuseBeforeStop is how long before requests in flight are cut off those are refused that were sent to no server: longer
 // than it takes to write thousands of refusals.
 const refuseBeforeStop = 500 * time.Millisecond
@@ -482,16 +503,15 @@
 	f.mu.Lock()
 	f.draining = true
 	f.mu.Unlock()
-	f.relay.Drain()
+	end, _ := ctx.Deadline()
+	f.relay.Drain(end)
+	callers, release := f.withFinalAnswers(ctx)
+	defer release()
 	select {
 	case <-time.After(f.settings.Shutdown.BalancerDelay):
 	case <-ctx.Done():
 	}
-	if end, ok := ctx.Deadline(); ok {
-		refuse := time.AfterFunc(time.Until(end)-refuseBeforeStop, f.relay.RefuseUnsent)
-		defer refuse.Stop()
-	}
-	err := f.callers.Stop(ctx)
+	err := f.callers.Stop(callers)
 	f.cancel()
 	<-f.done
 	if f.readiness != nil {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -111,10 +111,15 @@
 	givenUpLog  *logsink.Budget
 	limiter     *limiter.Limiter
 	stopping    atomic.Bool
+	// stopEnd is when the VM cuts off what is in flight; nil or zero while that is not known.
+	stopEnd atomic.Pointer[time.Time]
 	// sends ends when requests are not sent to servers any more; endSends ends it.
 	sends    context.Context //nolint:containedctx // the life of the relay's sends, not of one call
 	endSends context.CancelCauseFunc
-	liveness *liveness.Checker
+	// answers ends when requests without an answer are ended; endAnswers ends it.
+	answers    context.Context //nolint:containedctx // the life of all requests, not of one call
+	endAnswers context.CancelCauseFunc
+	liveness   *liveness.Checker
 
 	mu         sync.Mutex
 	health     *health
@@ -125,13 +130,16 @@
 	inStages map[string]int
 	// maxTimeout is the longest caller timeout seen so far, by route name.
 	maxTimeout map[string]time.Duration
+	// routeTimes is how long requests take that are answered, by route name.
+	routeTimes map[string]routeTime
 }
 
 // New returns a Relay. Run must be called for its periodic cleanup.
 func New(o Options) *Relay {
 	sends, endSends := context.WithCancelCause(context.Background())
+	answers, endAnswers := context.WithCancelCause(context.Background())
 	return &Relay{
-		opts: o, sends: sends, endSends: endSends, cold: allowance.NewWindow(time.Second), answeredLog: logsink.NewBudget(logsink.AnsweredPerSecond), notSentLog: logsink.NewBudget(logsink.AnsweredPerSecond),
+		opts: o, sends: sends, endSends: endSends, answers: answers, endAnswers: endAnswers, routeTimes: make(map[string]routeTime), cold: allowance.NewWindow(time.Second), answeredLog: logsink.NewBudget(logsink.AnsweredPerSecond), notSentLog: logsink.NewBudget(logsink.AnsweredPerSecond),
 		givenUpLog: logsink.NewBudget(logsink.AnsweredPerSecond),
 		limiter:    limiter.New(o.View, o.Log), health: newHealth(), placements: placement.NewPlacer(),
 		plainInFlight: make(map[string]int), inStages: make(map[string]int), maxTimeout: make(map[string]time.Duration),
@@ -192,7 +200,11 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(req.Context(), x.deadline, errDeadline)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
 	x.ctx = ctx
+	x.outlastStop = context.AfterFunc(r.answers, func() { end(errStopping) })
+	defer x.outlastStop()
 	defer x.finish()
 	x.run()
 }
@@ -256,6 +268,8 @@
 	lastEventID string
 	// headSent is true once the head of a streamed answer was written to the caller.
 	headSent bool
+	// outlastStop makes the request go on when requests without an answer are ended.
+	outlastStop func() bool
 	// abort makes finish abort the caller's connection.
 	abort bool
 
@@ -270,8 +284,8 @@
 
 // accept checks the request. If the request can't be served, it answers it and returns false.
 func (x *exchange) accept() bool {
-	if x.refusedByStop() {
-		return false
+	if x.relay.sendsEnded() {
+		return !x.refusedByStop()
 	}
 	k := x.relay.opts.View
 	x.catalog = k.Catalog()
@@ -300,7 +314,7 @@
 	x.deadline = x.start.Add(min(timeout, x.route.Timeout))
 	x.waited = x.relay.estimateWaited(x.route.Name, timeout)
 	x.lastEventID = x.call.ResumeAfter
-	if !x.readBody() {
+	if !x.readBody() || x.refusedByStop() {
 		return false
 	}
 	x.setService(x.catalog.Services[x.route.Pick(rand.Float64())])
@@ -400,6 +414,9 @@
 func (x *exchange) finish() {
 	took := time.Since(x.start)
 	x.count(took)
+	if x.outcome == "answered" {
+		x.relay.recordRouteTime(x.route.Name, took)
+	}
 	late := x.route != nil && x.firstByte+x.waited > x.route.Target
 	shouldLog, suppressed := true, uint64(0)
 	if x.outcome == "answered" && x.status < http.StatusInternalServerError && !late {
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -86,6 +86,7 @@
 
 func (x *exchange) writeHead(res *sendResult) {
 	x.headSent = true
+	x.outlastStop()
 	x.outcome, x.status = "answered", res.answer.Status
 	copyHeader(x.w.Header(), res.answer.Header)
 	x.w.WriteHeader(res.answer.Status)
