relay: a slow answer lowers a server's rank for 8 s, not for good

What callers saw: a server whose first answer to a VM was slow, as on a busy machine or after a stall, got no more requests from it: the smoothed time to first byte had no age, the server ranked last for it, and no request could show otherwise.

Change: the judgement falls to the service's average over 8 s without a new sample, as that by failures does, and a new sample counts the more the older the one before is. Both uses share it: services without an engine, and placement.

Ruled out: a share of attempts at random (it takes requests to servers that are known to be slow, however fresh that is).

Not looked at: stagecall, holdoff and slots, which the issue names too.

--- a/pkg/relay/decide_test.go
+++ b/pkg/relay/decide_test.go
@@ -114,9 +114,9 @@
 		}
 		h.recordAnswer("pool", "slow", 300*time.Millisecond, time.Unix(100, 0))
 	}
-	require.InDelta(t, 1, h.slowness("pool", "a"), 0.6)
-	require.Greater(t, h.slowness("pool", "slow"), 2.0)
-	require.InDelta(t, 1, h.slowness("pool", "unknown"), 0)
+	require.InDelta(t, 1, h.slowness("pool", "a", time.Unix(100, 0)), 0.6)
+	require.Greater(t, h.slowness("pool", "slow", time.Unix(100, 0)), 2.0)
+	require.InDelta(t, 1, h.slowness("pool", "unknown", time.Unix(100, 0)), 0)
 }
 
 func TestRecentlyAnswered(t *testing.T) {
--- a/pkg/relay/health.go
+++ b/pkg/relay/health.go
@@ -10,6 +10,9 @@
 	maxBackoff = 4 * time.Second
 	// failureDecayTime is how long a failure lowers a server's rank.
 	failureDecayTime = 8 * time.Second
+	// slownessDecayTime is how long a slow answer lowers a server's rank when no other follows. Without an end, a server that is
+	// ranked last for it would get no request that shows otherwise.
+	slownessDecayTime = 8 * time.Second
 	// answerTrustTime is how long after an answer a server that the control VMs do not hear from counts as alive.
 	answerTrustTime = 2 * time.Second
 	// firstByteSmoothing is the weight of the newest sample in the average time to first byte.
@@ -30,7 +33,7 @@
 	lastFailure  time.Time
 	// failureWeight is the decaying count of recent failures as of lastFailure; see decayedWeight.
 	failureWeight float64
-	// firstByte is the smoothed time to first byte; 0 without samples.
+	// firstByte is the smoothed time to first byte; 0 without samples. lastAnswer is the time of its latest sample.
 	firstByte time.Duration
 	// lastAnswer is when the server last answered a call of this VM.
 	lastAnswer time.Time
@@ -92,12 +95,12 @@
 // recordAnswer records an answer and its time to first byte, and ends the server's run of consecutive failures.
 func (h *health) recordAnswer(service, id string, first time.Duration, now time.Time) {
 	s := h.getOrCreate(id)
-	s.lastAnswer = now
-	s.failures = 0
 	if s.firstByte == 0 {
 		s.firstByte = first
 	}
-	s.firstByte += time.Duration(firstByteSmoothing * float64(first-s.firstByte))
+	s.firstByte += time.Duration(max(firstByteSmoothing, s.sampleAge(now)) * float64(first-s.firstByte))
+	s.lastAnswer = now
+	s.failures = 0
 	if h.avgFirstByte[service] == 0 {
 		h.avgFirstByte[service] = first
 	}
@@ -105,13 +108,23 @@
 	h.avgFirstByte[service] += time.Duration(firstByteSmoothing / 8 * float64(first-h.avgFirstByte[service]))
 }
 
-// slowness returns the ratio of a server's time to first byte to its service's average; 1 when there are no samples.
-func (h *health) slowness(service, id string) float64 {
+// sampleAge returns the age of the latest sample of the time to first byte as a fraction of slownessDecayTime, at most 1.
+func (s *serverHealth) sampleAge(now time.Time) float64 {
+	return min(float64(now.Sub(s.lastAnswer))/float64(slownessDecayTime), 1)
+}
+
+// slowness returns the ratio of a server's time to first byte to its service's average; 1 when there are no samples. Without a
+// new sample it falls to 1 over slownessDecayTime.
+func (h *health) slowness(service, id string, now time.Time) float64 {
 	s, average := h.servers[id], h.avgFirstByte[service]
 	if s == nil || s.firstByte == 0 || average == 0 {
 		return 1
 	}
-	return float64(s.firstByte) / float64(average)
+	ratio := float64(s.firstByte) / float64(average)
+	if ratio <= 1 {
+		return ratio
+	}
+	return 1 + (ratio-1)*(1-s.sampleAge(now))
 }
 
 // retain drops the servers for which keep returns false.
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -254,7 +254,7 @@
 	engines := make([]placement.Engine, 0, len(candidates))
 	for _, c := range candidates {
 		byID[c.ID] = c
-		slow := r.health.slowness(x.service.Name, c.ID) + r.health.failureScore(c.ID, now)
+		slow := r.health.slowness(x.service.Name, c.ID, now) + r.health.failureScore(c.ID, now)
 		engines = append(engines, placement.Engine{ID: c.ID, Domain: c.Domain, Cold: c.Cold, Slowness: slow})
 	}
 	q := placement.Request{Prompt: x.call.Prompt, InputMB: x.inputMB, Domain: r.opts.FailureDomain}
@@ -281,7 +281,7 @@
 		if c.Domain != r.opts.FailureDomain {
 			cost += remoteCost
 		}
-		cost = (1 + cost) * max(1, r.health.slowness(x.service.Name, c.ID)) * (1 + 2*r.health.failureScore(c.ID, now))
+		cost = (1 + cost) * max(1, r.health.slowness(x.service.Name, c.ID, now)) * (1 + 2*r.health.failureScore(c.ID, now))
 		list = append(list, ranked{c, cost})
 	}
 	slices.SortFunc(list, func(a, b ranked) int {
