liveness: a silent server is looked at again

What callers could see: the end of a server counts for nothing if no control VM confirms the refusal within 250 ms, and the server comes back elsewhere under another id: then nothing is ever announced in its place.

Cause: a refusal that isn't confirmed makes the server silent, and a silent server was only watched for an announcement. The class: the lack of an answer kept as a verdict.

Change: a silent server is looked at again after 1, 3 and 7 s, by one connection attempt for all calls that wait for it.

Tests: TestSilentServerIsLookedAtAgain fails before in both cases (0 crashes in 7 s), TestCallsShareLooksAtASilentServer bounds the attempts. The relay's usual times are bounded as well (4,096 routes).

--- a/pkg/liveness/liveness.go
+++ b/pkg/liveness/liveness.go
@@ -69,7 +69,9 @@
 		reportCrashes(runs)
 	case Silent, Reachable:
 		if len(runs) > 0 {
-			c.startWatch(&watchedCall{server: v, runs: runs, seen: observation{endedAt: now, probe: state}})
+			call := &watchedCall{server: v, runs: runs, seen: observation{endedAt: now}}
+			call.seen.probed(state, time.Now())
+			c.startWatch(call)
 		}
 	case Leaving:
 	}
--- a/pkg/liveness/liveness_test.go
+++ b/pkg/liveness/liveness_test.go
@@ -211,6 +211,50 @@
 	}
 }
 
+// A server whose end nobody confirms at first is looked at again, whether the call broke or was given up. One that is back elsewhere under
+// another id is never announced in its own place.
+func TestSilentServerIsLookedAtAgain(t *testing.T) {
+	for name, givenUp := range map[string]bool{"connection broke": false, "given up": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var attempts atomic.Int32
+			f := newFixture(t, func(ctx context.Context) (net.Conn, error) {
+				if attempts.Add(1) <= 2 {
+					return hang(ctx)
+				}
+				return refuse(ctx)
+			})
+			if givenUp {
+				f.giveUp()
+			} else {
+				run := f.tracker.Begin(liveness.Target(f.server), 1)
+				require.Equal(t, liveness.Silent, f.checker.Check(t.Context(), f.server, run))
+				run.End()
+			}
+			time.Sleep(time.Second)
+			require.Zero(t, f.tracker.Crashes(1))
+			require.Eventually(t, func() bool { return f.tracker.Crashes(1) == 1 }, 6*time.Second, 20*time.Millisecond)
+			require.EqualValues(t, 3, attempts.Load())
+		})
+	}
+}
+
+// Many calls to one silent server share the connection attempts to it.
+func TestCallsShareLooksAtASilentServer(t *testing.T) {
+	t.Parallel()
+	var attempts atomic.Int32
+	f := newFixture(t, func(ctx context.Context) (net.Conn, error) {
+		attempts.Add(1)
+		return hang(ctx)
+	})
+	for range 20 {
+		f.giveUp()
+		time.Sleep(30 * time.Millisecond)
+	}
+	time.Sleep(4 * time.Second)
+	require.LessOrEqual(t, attempts.Load(), int32(5))
+}
+
 // The end of a server that another call finds out counts against a request that was given up just before as well.
 func TestGivenUpCallIsStillOnItsServer(t *testing.T) {
 	f := newFixture(t, refuse)
--- a/pkg/liveness/verdict.go
+++ b/pkg/liveness/verdict.go
@@ -10,6 +10,8 @@
 	returnWindow = 15 * time.Second
 	// stallTime is the longest time that a server may stand still before it ends.
 	stallTime = 5 * time.Second
+	// firstReprobe is the time between the first two connection attempts to a silent server; it doubles with each.
+	firstReprobe = time.Second
 	// announceTime is how long a new incarnation may answer calls before it is known here.
 	announceTime = time.Second
 	// clockTolerance is how far the clocks of servers and VMs may differ.
@@ -23,8 +25,12 @@
 	// givenUp is true if this VM ended the call, which it did at givenUpAt.
 	givenUp   bool
 	givenUpAt time.Time
-	// probe is the state that a connection attempt showed since endedAt; empty before the first.
-	probe State
+	// probe is the state that the last connection attempt since endedAt showed; empty before the first. silent is true if one of
+	// them showed a silent server, and nextProbe is when the next one is due then.
+	probe     State
+	silent    bool
+	nextProbe time.Time
+	probes    int
 	// aliveAt is the last sign of life of the server's process: an answer to a call or an announcement. It may be one of the
 	// process that replaced it.
 	aliveAt time.Time
@@ -60,7 +66,7 @@
 	if o.certain {
 		return false
 	}
-	return o.probe == Silent || !startedAfter(o.born, o.endedAt) || !alive && !startedAfter(o.born, o.endedAt.Add(stallTime))
+	return o.silent || !startedAfter(o.born, o.endedAt) || !alive && !startedAfter(o.born, o.endedAt.Add(stallTime))
 }
 
 // answered notes that the server has answered another call, on a connection made at the time since.
@@ -72,9 +78,25 @@
 // alive reports whether the server gave a sign of life after the call.
 func (o observation) alive() bool { return !o.aliveAt.Before(o.endedAt) }
 
-// needsProbe reports whether a connection attempt is due: the call is over, and the server has given no sign of life since.
+// open reports whether a connection attempt may tell what became of the server: the call is over, the server has given no sign of
+// life since, and it has accepted no connection.
+func (o observation) open(now time.Time) bool {
+	return !now.Before(o.endedAt) && !o.alive() && (o.probe == "" || o.probe == Silent)
+}
+
+// needsProbe reports whether a connection attempt is due. A silent server is tried again: it may refuse by then, or the VM that
+// confirms a refusal may have been slow.
 func (o observation) needsProbe(now time.Time) bool {
-	return o.probe == "" && !now.Before(o.endedAt) && !o.alive()
+	return o.open(now) && (o.probe == "" || !now.Before(o.nextProbe))
+}
+
+// probed notes what a connection attempt showed.
+func (o *observation) probed(state State, now time.Time) {
+	o.probe = state
+	if state == Silent {
+		o.silent, o.nextProbe = true, now.Add(firstReprobe<<o.probes)
+		o.probes++
+	}
 }
 
 // startedAfter reports whether a server that started at born, by its own clock, certainly did so after t, by this VM's.
--- a/pkg/liveness/watch.go
+++ b/pkg/liveness/watch.go
@@ -104,28 +104,32 @@
 	born int64
 }
 
-// probeDue makes the connection attempts that are due, one for each server.
+// probeDue makes the connection attempts that are due, one for each server, which count for all of its calls.
 func (c *Checker) probeDue() {
 	w, now := &c.watch, time.Now()
-	due := make(map[incarnation][]*watchedCall)
+	open, due := make(map[incarnation][]*watchedCall), make(map[incarnation]bool)
 	w.mu.Lock()
 	for _, list := range w.calls {
 		for _, call := range list {
-			if call.seen.needsProbe(now) {
-				k := incarnation{call.server.ID, call.server.Born}
-				due[k] = append(due[k], call)
+			k := incarnation{call.server.ID, call.server.Born}
+			if call.seen.open(now) {
+				open[k] = append(open[k], call)
 			}
+			due[k] = due[k] || call.seen.needsProbe(now)
 		}
 	}
 	w.mu.Unlock()
 	var wg sync.WaitGroup
-	for _, list := range due {
+	for k, list := range open {
+		if !due[k] {
+			continue
+		}
 		wg.Go(func() {
 			state := c.probe(context.Background(), list[0].server)
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			for _, call := range list {
-				call.seen.probe = state
+				call.seen.probed(state, time.Now())
 			}
 		})
 	}
--- a/pkg/relay/stop.go
+++ b/pkg/relay/stop.go
@@ -78,6 +78,8 @@
 	meanWeight, deviationWeight = 8, 4
 	// usualDeviations is how many deviations above the mean requests usually end.
 	usualDeviations = 4
+	// maxRouteTimes bounds the routes whose times are kept; beyond it all are forgotten, since routes come and go.
+	maxRouteTimes = 4096
 )
 
 // add adds the time that one request took.
@@ -104,7 +106,10 @@
 func (r *Relay) recordRouteTime(route string, took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := r.routeTimes[route]
+	e, known := r.routeTimes[route]
+	if !known && len(r.routeTimes) >= maxRouteTimes {
+		clear(r.routeTimes)
+	}
 	e.add(took)
 	r.routeTimes[route] = e
 }
