suspect: a lease isn't granted twice to commands that cross, or after an end

What callers saw: copies of a request at the same moment end servers although one at a time is leased.

Cause, from its log: vm5 and vm4 were leased the run within 1 ms, vm5 again 25 ms later, right after an end. LeaseRun took a time left above the length of the lease for a wrong clock, and granted. So is the time left of a command that was proposed a millisecond earlier through another control VM and applied later, and that of a lease of 10 s once a counted end has set the count of leases back to that of 5 s. The class: a bound on bad input drawn so tightly that good input crosses it.

Change: only a time left beyond twice the longest lease (320 s) is taken for a wrong clock.

Test: TestOneLeaseAtATime, both cases fail before.

--- a/pkg/suspect/suspect.go
+++ b/pkg/suspect/suspect.go
@@ -44,6 +44,7 @@
 	RunLeaseMs = 5 * 1000
 	// maxLeaseDoublings bounds the length of a lease to 64 times RunLeaseMs.
 	maxLeaseDoublings = 6
+	longestLeaseMs    = RunLeaseMs << maxLeaseDoublings
 	// SuspicionMs is how long a suspicion lasts after the last crash, in milliseconds.
 	SuspicionMs = 10 * 60 * 1000
 	// ConvictionMs is how long a conviction lasts, in milliseconds.
@@ -159,8 +160,8 @@
 	if !IsLeased(r.GetSuspect()) {
 		return &daisyhatchv1.RunLeaseResult{Granted: true}
 	}
-	// A longer time than a lease lasts shows that a proposer's clock was wrong.
-	if left := r.GetLeasedUntilUnixMs() - timeMs; left > 0 && left <= leaseMs(r.GetLeases()) {
+	// A much longer time than any lease lasts shows that a proposer's clock was wrong.
+	if left := r.GetLeasedUntilUnixMs() - timeMs; left > 0 && left <= 2*longestLeaseMs {
 		return &daisyhatchv1.RunLeaseResult{WaitMs: left}
 	}
 	r.Leases++
--- a/pkg/suspect/suspect_test.go
+++ b/pkg/suspect/suspect_test.go
@@ -252,3 +252,28 @@
 	require.NoError(t, err)
 	return out
 }
+
+// Two leases of one request overlap: the later one was asked for by a clock a millisecond behind, or an end was counted in between.
+func TestOneLeaseAtATime(t *testing.T) {
+	const start = int64(1_000_000)
+	leased := func(t *testing.T) *Table {
+		table := New()
+		for i := range 2 {
+			_, err := table.Crash(&daisyhatchv1.CrashCommand{Server: fmt.Sprint(i), Fingerprints: []uint64{1}, Runs: []*daisyhatchv1.CrashRun{{}}}, start)
+			require.NoError(t, err)
+		}
+		require.True(t, table.LeaseRun(&daisyhatchv1.RunLeaseCommand{Fingerprint: 1}, start).GetGranted())
+		return table
+	}
+	t.Run("asked for a millisecond earlier", func(t *testing.T) {
+		require.False(t, leased(t).LeaseRun(&daisyhatchv1.RunLeaseCommand{Fingerprint: 1}, start-1).GetGranted())
+	})
+	t.Run("an end is counted during a longer lease", func(t *testing.T) {
+		table := leased(t)
+		second := start + RunLeaseMs
+		require.True(t, table.LeaseRun(&daisyhatchv1.RunLeaseCommand{Fingerprint: 1}, second).GetGranted())
+		_, err := table.Crash(&daisyhatchv1.CrashCommand{Server: "2", Fingerprints: []uint64{1}}, second+20)
+		require.NoError(t, err)
+		require.False(t, table.LeaseRun(&daisyhatchv1.RunLeaseCommand{Fingerprint: 1}, second+30).GetGranted())
+	})
+}
