fleet: a control VM that stops gives notice, and leaves a group that needs it gone

Cause: the successor joined as a sixth voter, and the VM that had stopped in order went on counting until 3 s of silence. Three live voters of six are no majority, and the removal of the others needs one.

Ruled out: missing data (the remaining disks hold the version), joining (with five voters the lost VMs are back in time).

Change: a stopping VM hands leadership over and gives notice; the leader removes it only if there are more voters than the target and the rest could lose fewer than the losses borne. A restart at the target size costs no vote.

--- a/gen/daisyhatch/v1/daisyhatchv1connect/fleet.connect.go
+++ b/gen/daisyhatch/v1/daisyhatchv1connect/fleet.connect.go
@@ -37,6 +37,8 @@
 const (
 	// FleetServiceJoinProcedure is the fully-qualified name of the FleetService's Join RPC.
 	FleetServiceJoinProcedure = "/daisyhatch.v1.FleetService/Join"
+	// FleetServiceNoticeStopProcedure is the fully-qualified name of the FleetService's NoticeStop RPC.
+	FleetServiceNoticeStopProcedure = "/daisyhatch.v1.FleetService/NoticeStop"
 	// FleetServiceFollowProcedure is the fully-qualified name of the FleetService's Follow RPC.
 	FleetServiceFollowProcedure = "/daisyhatch.v1.FleetService/Follow"
 	// FleetServiceRelayProcedure is the fully-qualified name of the FleetService's Relay RPC.
@@ -68,6 +70,8 @@
 // FleetServiceClient is a client for the daisyhatch.v1.FleetService service.
 type FleetServiceClient interface {
 	Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error)
+	// NoticeStop tells that a control VM is about to stop.
+	NoticeStop(context.Context, *connect.Request[v1.NoticeStopRequest]) (*connect.Response[v1.NoticeStopResponse], error)
 	Follow(context.Context, *connect.Request[v1.FollowRequest]) (*connect.ServerStreamForClient[v1.FollowResponse], error)
 	Relay(context.Context, *connect.Request[v1.RelayRequest]) (*connect.Response[v1.RelayResponse], error)
 	StageRun(context.Context, *connect.Request[v1.StageRunRequest]) (*connect.ServerStreamForClient[v1.StageRunResponse], error)
@@ -103,6 +107,12 @@
 			connect.WithSchema(fleetServiceMethods.ByName("Join")),
 			connect.WithClientOptions(opts...),
 		),
+		noticeStop: connect.NewClient[v1.NoticeStopRequest, v1.NoticeStopResponse](
+			httpClient,
+			baseURL+FleetServiceNoticeStopProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("NoticeStop")),
+			connect.WithClientOptions(opts...),
+		),
 		follow: connect.NewClient[v1.FollowRequest, v1.FollowResponse](
 			httpClient,
 			baseURL+FleetServiceFollowProcedure,
@@ -175,6 +185,7 @@
 // fleetServiceClient implements FleetServiceClient.
 type fleetServiceClient struct {
 	join          *connect.Client[v1.JoinRequest, v1.JoinResponse]
+	noticeStop    *connect.Client[v1.NoticeStopRequest, v1.NoticeStopResponse]
 	follow        *connect.Client[v1.FollowRequest, v1.FollowResponse]
 	relay         *connect.Client[v1.RelayRequest, v1.RelayResponse]
 	stageRun      *connect.Client[v1.StageRunRequest, v1.StageRunResponse]
@@ -193,6 +204,11 @@
 	return c.join.CallUnary(ctx, req)
 }
 
+// NoticeStop calls daisyhatch.v1.FleetService.NoticeStop.
+func (c *fleetServiceClient) NoticeStop(ctx context.Context, req *connect.Request[v1.NoticeStopRequest]) (*connect.Response[v1.NoticeStopResponse], error) {
+	return c.noticeStop.CallUnary(ctx, req)
+}
+
 // Follow calls daisyhatch.v1.FleetService.Follow.
 func (c *fleetServiceClient) Follow(ctx context.Context, req *connect.Request[v1.FollowRequest]) (*connect.ServerStreamForClient[v1.FollowResponse], error) {
 	return c.follow.CallServerStream(ctx, req)
@@ -251,6 +267,8 @@
 // FleetServiceHandler is an implementation of the daisyhatch.v1.FleetService service.
 type FleetServiceHandler interface {
 	Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error)
+	// NoticeStop tells that a control VM is about to stop.
+	NoticeStop(context.Context, *connect.Request[v1.NoticeStopRequest]) (*connect.Response[v1.NoticeStopResponse], error)
 	Follow(context.Context, *connect.Request[v1.FollowRequest], *connect.ServerStream[v1.FollowResponse]) error
 	Relay(context.Context, *connect.Request[v1.RelayRequest]) (*connect.Response[v1.RelayResponse], error)
 	StageRun(context.Context, *connect.Request[v1.StageRunRequest], *connect.ServerStream[v1.StageRunResponse]) error
@@ -282,6 +300,12 @@
 		connect.WithSchema(fleetServiceMethods.ByName("Join")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceNoticeStopHandler := connect.NewUnaryHandler(
+		FleetServiceNoticeStopProcedure,
+		svc.NoticeStop,
+		connect.WithSchema(fleetServiceMethods.ByName("NoticeStop")),
+		connect.WithHandlerOptions(opts...),
+	)
 	fleetServiceFollowHandler := connect.NewServerStreamHandler(
 		FleetServiceFollowProcedure,
 		svc.Follow,
@@ -352,6 +376,8 @@
 		switch r.URL.Path {
 		case FleetServiceJoinProcedure:
 			fleetServiceJoinHandler.ServeHTTP(w, r)
+		case FleetServiceNoticeStopProcedure:
+			fleetServiceNoticeStopHandler.ServeHTTP(w, r)
 		case FleetServiceFollowProcedure:
 			fleetServiceFollowHandler.ServeHTTP(w, r)
 		case FleetServiceRelayProcedure:
@@ -387,6 +413,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("daisyhatch.v1.FleetService.Join is not implemented"))
 }
 
+func (UnimplementedFleetServiceHandler) NoticeStop(context.Context, *connect.Request[v1.NoticeStopRequest]) (*connect.Response[v1.NoticeStopResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("daisyhatch.v1.FleetService.NoticeStop is not implemented"))
+}
+
 func (UnimplementedFleetServiceHandler) Follow(context.Context, *connect.Request[v1.FollowRequest], *connect.ServerStream[v1.FollowResponse]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("daisyhatch.v1.FleetService.Follow is not implemented"))
 }
--- a/pkg/daemon/fleet.go
+++ b/pkg/daemon/fleet.go
@@ -231,6 +231,7 @@
 	err := f.operators.Stop(ctx)
 	f.cancel()
 	<-f.done
+	f.control.PrepareStop(ctx)
 	return errors.Join(err, f.node.Stop(ctx))
 }
 
--- a/pkg/fleet/control.go
+++ b/pkg/fleet/control.go
@@ -119,8 +119,13 @@
 	owners        ownerPlanState
 	rejectedLog   *logsink.Budget
 
-	mu        sync.Mutex
-	joiners   map[string]Joiner
+	// membershipMu serialises changes to the control group. It is locked before mu.
+	membershipMu sync.Mutex
+
+	mu      sync.Mutex
+	joiners map[string]Joiner
+	// stopping holds the notices of stops by VM.
+	stopping  map[string]stopNotice
 	followers map[uint64]entryFollower
 	// followersVersion is incremented when an entry VM is added to or removed from followers.
 	followersVersion uint64
@@ -139,7 +144,7 @@
 // NewControl returns a Control. stages may be nil; StageRun and StageFree must not be called then.
 func NewControl(o ControlOptions, stages StageRunner) *Control {
 	return &Control{
-		opts: o, started: time.Now(), stages: stages, rejectedLog: logsink.NewBudget(rejectedPerSecond), snapshotSlots: make(chan struct{}, maxConcurrentSnapshots), joiners: make(map[string]Joiner), followers: make(map[uint64]entryFollower),
+		opts: o, started: time.Now(), stages: stages, rejectedLog: logsink.NewBudget(rejectedPerSecond), snapshotSlots: make(chan struct{}, maxConcurrentSnapshots), joiners: make(map[string]Joiner), stopping: make(map[string]stopNotice), followers: make(map[uint64]entryFollower),
 	}
 }
 
@@ -153,7 +158,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { c.syncReplicatedState(ctx) })
 	wg.Go(func() { runEvery(ctx, confirmInterval, c.confirm) })
-	wg.Go(func() { runEvery(ctx, membershipInterval, c.planMembership) })
+	wg.Go(func() { runEvery(ctx, membershipInterval, func(ctx context.Context) { c.planMembership(ctx) }) })
 	wg.Go(func() { runEvery(ctx, joinInterval, c.requestJoin) })
 	wg.Go(func() { runEvery(ctx, ownerInterval, c.assignOwners) })
 	wg.Go(func() { runEvery(ctx, time.Second, c.expire) })
--- a/pkg/fleet/joining.go
+++ b/pkg/fleet/joining.go
@@ -82,19 +82,17 @@
 	return slices.Compact(out)
 }
 
-// planMembership makes the next change to the control group if this VM is the leader.
-func (c *Control) planMembership(ctx context.Context) {
+// planMembership makes the next change to the control group if this VM is the leader. It reports whether it removed a
+// member.
+func (c *Control) planMembership(ctx context.Context) (removed bool) {
+	c.membershipMu.Lock()
+	defer c.membershipMu.Unlock()
 	silences, err := c.opts.Node.Silences(ctx)
 	if err != nil {
-		return
+		return false
 	}
 	now := time.Now()
-	var members []Member
-	for _, p := range c.opts.Node.Status().Membership.GetPeers() {
-		members = append(members, Member{
-			VM: p.GetVm(), Instance: p.GetInstance(), Learner: p.GetLearner(), Silence: silences[p.GetVm()],
-		})
-	}
+	members := c.members(silences, now)
 	c.mu.Lock()
 	joiners := slices.Collect(maps.Values(c.joiners))
 	c.mu.Unlock()
@@ -108,13 +106,25 @@
 	case step.Remove != "":
 		err = c.opts.Node.ChangeMembership(ctx, nil, step.Remove)
 	default:
-		return
+		return false
 	}
 	added := ""
 	if step.Add != nil {
 		added = step.Add.VM
 	}
 	c.opts.Log.Info("control group changed", "added", added, "removed", step.Remove, "members", len(members), "error", errorText(err))
+	return step.Remove != "" && err == nil
+}
+
+// members returns the members of the control group with their silence.
+func (c *Control) members(silences map[string]time.Duration, now time.Time) []Member {
+	var out []Member
+	for _, p := range c.opts.Node.Status().Membership.GetPeers() {
+		m := Member{VM: p.GetVm(), Instance: p.GetInstance(), Learner: p.GetLearner(), Silence: silences[p.GetVm()]}
+		m.Stopping = c.isStopping(m, now)
+		out = append(out, m)
+	}
+	return out
 }
 
 func errorText(err error) string {
--- a/pkg/fleet/membership.go
+++ b/pkg/fleet/membership.go
@@ -22,6 +22,8 @@
 	Learner  bool
 	// Silence is the time since the leader last heard from the member; 0 for the leader itself.
 	Silence time.Duration
+	// Stopping is true if the member gave notice of its stop and wasn't heard later.
+	Stopping bool
 }
 
 // Joiner is a VM that asks to join the control group. RequestedAt is when its latest request arrived.
@@ -43,6 +45,9 @@
 // voter is removed only when a VM waits to take its place, or when there are more voters than target, so that the
 // group never shrinks because of silence alone. It is removed before the new voter is added: the quorum then never
 // needs more live voters than before.
+//
+// A voter that stops may come back, so it keeps its vote as long as the others can lose as many more voters as a group of
+// target voters can. Otherwise it is removed while there are more voters than target.
 func NextMembershipChange(members []Member, joiners []Joiner, target int, now time.Time) MembershipChange {
 	voters := 0
 	byVM := make(map[string]Member, len(members))
@@ -64,12 +69,38 @@
 	switch {
 	case dead != "" && (voters > target || len(waiting) > 0 && voters >= target):
 		return MembershipChange{Remove: dead}
+	case voters > target && spareVoters(members, voters) < target-majority(target):
+		return MembershipChange{Remove: longestStopping(members)}
 	case len(waiting) > 0:
 		return MembershipChange{Add: &waiting[0]}
 	}
 	return MembershipChange{}
 }
 
+func majority(voters int) int { return voters/2 + 1 }
+
+// spareVoters returns how many of the voters that go on running may fail before the group has no majority.
+func spareVoters(members []Member, voters int) int {
+	running := 0
+	for _, m := range members {
+		if !m.Learner && !m.Stopping && m.Silence < deadAfter {
+			running++
+		}
+	}
+	return running - majority(voters)
+}
+
+// longestStopping returns the stopping voter that has been silent longest; empty if there is none.
+func longestStopping(members []Member) string {
+	vm, longest := "", time.Duration(-1)
+	for _, m := range members {
+		if m.Stopping && !m.Learner && m.Silence > longest {
+			vm, longest = m.VM, m.Silence
+		}
+	}
+	return vm
+}
+
 // longestSilent returns the dead member that has been silent longest; empty if there is none.
 func longestSilent(members []Member) string {
 	vm, longest := "", deadAfter
--- a/pkg/fleet/membership_test.go
+++ b/pkg/fleet/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -88,3 +89,78 @@
 		}
 	})
 }
+
+// A voter that stops keeps its vote while the group can bear the losses without it.
+func TestStoppingVoterIsRemovedOnlyIfTheGroupNeedsIt(t *testing.T) {
+	stopping := func(vm string) Member { return Member{VM: vm, Instance: "disk-" + vm, Stopping: true} }
+	cases := map[string]struct {
+		members []Member
+		remove  string
+	}{
+		"restart in a full group":                {members: []Member{member("a", 0), member("b", 0), stopping("c")}},
+		"restart in a group that misses a voter": {members: []Member{member("a", 0), stopping("b")}},
+		"its successor votes":                    {members: []Member{member("a", 0), member("b", 0), stopping("c"), member("d", 0)}, remove: "c"},
+		"its successor is a learner":             {members: []Member{member("a", 0), member("b", 0), stopping("c"), {VM: "d", Learner: true}}},
+		"first of two that are replaced":         {members: []Member{member("a", 0), member("b", 0), stopping("c"), member("d", 0), member("e", 0)}},
+		"second of two that are replaced": {
+			members: []Member{member("a", 0), stopping("b"), {VM: "c", Stopping: true, Silence: time.Second}, member("d", 0), member("e", 0)}, remove: "c",
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := NextMembershipChange(c.members, nil, 3, testTime)
+			require.Nil(t, s.Add)
+			require.Equal(t, c.remove, s.Remove)
+		})
+	}
+}
+
+// However many voters stop or are silent beside as many live ones as the target, the group can lose as many of the live ones
+// as it has to bear once no change is left to make. Guards against a planned replacement that leaves an even group.
+func TestMembershipBearsLossesBesideStops(t *testing.T) {
+	states := []Member{{}, {Stopping: true}, {Silence: deadAfter}}
+	for losses := 1; losses <= 2; losses++ {
+		target := 2*losses + 1
+		for voters := target; voters <= target+2; voters++ {
+			for combination := range pow(len(states), voters) {
+				var members []Member
+				live := 0
+				for i, rest := 0, combination; i < voters; i, rest = i+1, rest/len(states) {
+					m := states[rest%len(states)]
+					m.VM = string(rune('a' + i))
+					members = append(members, m)
+					if m == (Member{VM: m.VM}) {
+						live++
+					}
+				}
+				if live < target {
+					continue
+				}
+				left := settleMembership(t, members, target)
+				require.GreaterOrEqual(t, live-losses, left/2+1, "%d live of %d voters, %d at first, %d losses", live, left, voters, losses)
+				require.GreaterOrEqual(t, left, target)
+			}
+		}
+	}
+}
+
+func pow(base, n int) int {
+	out := 1
+	for range n {
+		out *= base
+	}
+	return out
+}
+
+// settleMembership makes changes until none is left, and returns the number of voters.
+func settleMembership(t *testing.T, members []Member, target int) int {
+	for range 2 * len(members) {
+		s := NextMembershipChange(members, nil, target, testTime)
+		require.Nil(t, s.Add)
+		if s.Remove == "" {
+			break
+		}
+		members = slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.VM == s.Remove })
+	}
+	return len(members)
+}
--- a/pkg/raft/leader.go
+++ b/pkg/raft/leader.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -370,7 +371,7 @@
 		return ErrNotLeader
 	}
 	if id == "" {
-		id = c.successor()
+		id = c.Successor(nil)
 	}
 	pr := c.lead.peers[id]
 	if pr == nil || !c.confs.isVoter(id) {
@@ -382,17 +383,23 @@
 	return nil
 }
 
-func (c *Core) successor() string {
-	best := ""
+// Successor returns the most advanced live voter other than this one, if possible on none of the VMs avoid; empty if there is
+// none.
+func (c *Core) Successor(avoid []string) string {
+	best, avoided := "", ""
 	for _, id := range voters(c.confs.latest().members) {
 		if id == c.cfg.ID || !c.isLive(id) {
 			continue
 		}
-		if best == "" || c.matchOf(id) > c.matchOf(best) {
-			best = id
+		to := &best
+		if slices.Contains(avoid, VMOf(id)) {
+			to = &avoided
+		}
+		if *to == "" || c.matchOf(id) > c.matchOf(*to) {
+			*to = id
 		}
 	}
-	return best
+	return cmp.Or(best, avoided)
 }
 
 func (c *Core) maybeHandOver(id string, pr *progress) {
--- a/pkg/raft/membership.go
+++ b/pkg/raft/membership.go
@@ -159,8 +159,11 @@
 }
 
 // vm returns the VM name in this peer's identity.
-func (c *Core) vm() string {
-	vm, _, _ := strings.Cut(c.cfg.ID, "/")
+func (c *Core) vm() string { return VMOf(c.cfg.ID) }
+
+// VMOf returns the VM name in a peer's identity.
+func VMOf(id string) string {
+	vm, _, _ := strings.Cut(id, "/")
 	return vm
 }
 
--- a/pkg/replica/node.go
+++ b/pkg/replica/node.go
@@ -201,7 +201,7 @@
 // Work in flight ends with ErrStopped. The node stops also when ctx has ended; only a write that hangs in the disk
 // makes it return ErrStorage before.
 func (n *Node) Stop(ctx context.Context) error {
-	n.handOver(ctx)
+	n.HandOver(ctx)
 	n.once.Do(func() { close(n.stop) })
 	limit := time.NewTimer(loopStopTimeout)
 	defer limit.Stop()
@@ -218,13 +218,24 @@
 	return nil
 }
 
-// handOver tries to pass leadership on; it waits for at most twice the election timeout.
-func (n *Node) handOver(ctx context.Context) {
-	err := n.call(ctx, func() error { return n.core.TransferLeadership("") })
-	if err != nil {
-		return
+// handOverAttempts is how many voters HandOver tries.
+const handOverAttempts = 2
+
+// HandOver tries to pass leadership on if this node has it, to a voter on none of the VMs avoid if there is such. It waits for at
+// most handOverAttempts times the election timeout.
+func (n *Node) HandOver(ctx context.Context, avoid ...string) {
+	for range handOverAttempts {
+		err := n.call(ctx, func() error { return n.core.TransferLeadership(n.core.Successor(avoid)) })
+		if err != nil || n.awaitHandOver(ctx) {
+			return
+		}
 	}
-	limit := time.NewTimer(2 * n.opts.ElectionTimeout)
+}
+
+// awaitHandOver waits for an election timeout until this node doesn't lead any more. It returns true if waiting longer makes no
+// sense.
+func (n *Node) awaitHandOver(ctx context.Context) bool {
+	limit := time.NewTimer(n.opts.ElectionTimeout)
 	defer limit.Stop()
 	poll := time.NewTicker(n.opts.HeartbeatInterval / 4)
 	defer poll.Stop()
@@ -232,13 +243,14 @@
 		select {
 		case <-poll.C:
 		case <-limit.C:
-			return
+			return false
 		case <-ctx.Done():
-			return
+			return true
 		case <-n.done:
-			return
+			return true
 		}
 	}
+	return true
 }
 
 // Handler returns the path and the handler of ConsensusService, to be served on the peer address.
@@ -276,7 +288,7 @@
 			return ErrNoLeader
 		}
 		for id, d := range silences {
-			out[vmOf(id)] = d
+			out[raft.VMOf(id)] = d
 		}
 		return nil
 	})
--- a/pkg/replica/node_loop.go
+++ b/pkg/replica/node_loop.go
@@ -311,7 +311,7 @@
 	c := n.core.Status()
 	s := Status{
 		VM:         n.opts.VM,
-		Leader:     vmOf(c.Leader),
+		Leader:     raft.VMOf(c.Leader),
 		Term:       c.Term,
 		Commit:     c.Commit,
 		Applied:    c.Applied,
--- a/pkg/replica/node_transport.go
+++ b/pkg/replica/node_transport.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -38,12 +37,6 @@
 	return &http.Client{Transport: t}
 }
 
-// vmOf returns the VM name of a peer's identity.
-func vmOf(id string) string {
-	vm, _, _ := strings.Cut(id, "/")
-	return vm
-}
-
 // transport sends messages to peers, each over its own queue and in order.
 type transport struct {
 	client  *http.Client
