stagecall: locks of the runner and its pools are never held together

Cause: Runner.pool took the pool's lock under the Runner's; pool.inputsRead called back under the pool's lock, which takes the Runner's to release inputs that this VM had made.

Change: the pool collects the waiters under its lock and calls back without it; the Runner configures a pool after it has released its own lock. Run waits for callbacks that are under way. stageclient.Freer releases without its lock.

--- a/pkg/stagecall/pool.go
+++ b/pkg/stagecall/pool.go
@@ -49,6 +49,8 @@
 	unreadPieces     int
 	inputsRead       func()
 	inputsReadCalled bool
+	// notices are the calls of inputsRead that have not returned. Run waits for them.
+	notices sync.WaitGroup
 }
 
 // complete reports whether all pieces have results. Call it only after done is closed.
@@ -258,20 +260,32 @@
 // inputsRead handles a call that has run long enough for its inputs to be read. Nothing changes while the server may lack
 // memory for the results: its pieces would be sent again and need their inputs; the result of the call decides.
 func (p *pool) inputsRead(c *Call) {
+	for _, w := range p.markInputsRead(c) {
+		w.inputsRead()
+		w.notices.Done()
+	}
+}
+
+// markInputsRead records that a call's inputs are read, and returns the waiters whose inputsRead is due. inputsRead is to be
+// called without a lock, since that may release results of this or another pool.
+func (p *pool) markInputsRead(c *Call) []*waiter {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.sched.CertainOfRoom(c.Server.ID, time.Now()) {
-		return
+		return nil
 	}
 	c.inputsRead = true
+	var out []*waiter
 	for _, part := range c.Parts {
 		w := part.Job.resultsTo
 		w.unreadPieces -= len(part.Pieces)
 		if w.unreadPieces == 0 && !w.closed && w.inputsRead != nil && !w.inputsReadCalled {
-			w.inputsRead()
 			w.inputsReadCalled = true
+			w.notices.Add(1)
+			out = append(out, w)
 		}
 	}
+	return out
 }
 
 // handleResult handles the result of one piece. A failed piece is queued again if a retry can still succeed.
--- a/pkg/stagecall/release.go
+++ b/pkg/stagecall/release.go
@@ -50,7 +50,6 @@
 		pools = append(pools, p)
 	}
 	r.mu.Unlock()
-	// The lock order is pool before Runner, so pools are queried without r.mu.
 	for address, f := range pending {
 		if now.Sub(f.since) >= freeIntervalAmple || !hasAmpleRoomAt(pools, address) {
 			go r.sendFree(address, f.handles, pools)
--- a/pkg/stagecall/runner.go
+++ b/pkg/stagecall/runner.go
@@ -90,6 +90,7 @@
 	liveness *liveness.Checker
 	limiter  *limiter.Limiter
 
+	// mu and the locks of the pools are never held together, in either order.
 	mu           sync.Mutex
 	pools        map[string]*pool
 	pendingFrees map[string]*pendingFree
@@ -117,6 +118,15 @@
 		return nil, ErrUnknownService
 	}
 	b := *set.Services[service].Batch
+	p := r.poolFor(service, b)
+	p.mu.Lock()
+	p.sched.Configure(b)
+	p.mu.Unlock()
+	return p, nil
+}
+
+// poolFor returns the pool of a service; a missing one is added.
+func (r *Runner) poolFor(service string, b catalog.Batch) *pool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.pools[service]
@@ -127,10 +137,7 @@
 		}
 		r.pools[service] = p
 	}
-	p.mu.Lock()
-	p.sched.Configure(b)
-	p.mu.Unlock()
-	return p, nil
+	return p
 }
 
 // Run runs the pieces of one stage of one request and returns their results in order. A stage that can't finish before its
@@ -165,6 +172,7 @@
 			"remaining_ms", q.GetRemainingMs())
 		return &daisyhatchv1.StageRunResponse{Refused: true, RetryAfterMs: wait.Milliseconds()}, nil
 	}
+	defer w.notices.Wait()
 	select {
 	case <-w.done:
 	case <-ctx.Done():
--- a/pkg/stagecall/runner_test.go
+++ b/pkg/stagecall/runner_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	daisyhatchv1 "github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1"
+	"github.com/daisyhatch/daisyhatch/pkg/catalog"
 	"github.com/daisyhatch/daisyhatch/pkg/dialect"
 	"github.com/daisyhatch/daisyhatch/pkg/retry"
 )
@@ -113,3 +114,50 @@
 	p.inputsRead(c)
 	require.Equal(t, 1, readCount)
 }
+
+// A stage's inputs are results of another pool, or of the same one: releasing them needs the locks that were held when they had
+// been read. Guards against a VM that makes the calls of two stages and hangs for good.
+func TestInputsAreReleasedWithoutALockHeld(t *testing.T) {
+	j := job("a", 1, 0, time.Second, 5*time.Second)
+	w := newWaiter(j, new(int))
+	r := NewRunner(Options{})
+	p := r.poolFor("s", batch)
+	called := false
+	w.inputsRead = func() {
+		called = true
+		require.True(t, p.mu.TryLock(), "the pool is locked")
+		p.mu.Unlock()
+		require.True(t, r.mu.TryLock(), "the runner is locked")
+		r.mu.Unlock()
+	}
+	p.inputsRead(&Call{Parts: []CallPart{{Job: j, Pieces: j.Pieces}}})
+	require.True(t, called)
+}
+
+// batchView is a View of one service.
+type batchView struct{ View }
+
+func (batchView) Catalog() *catalog.Set {
+	b := batch
+	return &catalog.Set{Services: map[string]*catalog.Service{"s": {Batch: &b}}}
+}
+
+// A pool that is busy doesn't keep results of others from being released.
+func TestBusyPoolLeavesTheRunnerFree(t *testing.T) {
+	r := NewRunner(Options{View: batchView{}})
+	p, err := r.pool("s")
+	require.NoError(t, err)
+	p.mu.Lock()
+	found := make(chan struct{})
+	go func() {
+		defer close(found)
+		_, _ = r.pool("s")
+	}()
+	for range 50 {
+		time.Sleep(time.Millisecond)
+		require.True(t, r.mu.TryLock(), "the runner is locked while the pool is")
+		r.mu.Unlock()
+	}
+	p.mu.Unlock()
+	<-found
+}
--- a/pkg/stageclient/freer.go
+++ b/pkg/stageclient/freer.go
@@ -50,15 +50,21 @@
 
 // Free releases results. It does not block.
 func (f *Freer) Free(handles []string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	var own []string
+	elsewhere := make(map[string][]string)
 	for _, h := range handles {
 		if o, ok := f.owners.OwnerAt(stagecall.AddressOf(h)); ok && o.Address != f.ownAddress {
-			f.pending[o.Address] = append(f.pending[o.Address], h)
+			elsewhere[o.Address] = append(elsewhere[o.Address], h)
 		} else {
-			f.runner.Free([]string{h})
+			own = append(own, h)
 		}
 	}
+	f.runner.Free(own)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for owner, h := range elsewhere {
+		f.pending[owner] = append(f.pending[owner], h...)
+	}
 	if f.timer == nil && len(f.pending) > 0 {
 		f.timer = time.AfterFunc(freeInterval, f.flush)
 	}
