fleet: an order for a failure domain is overtaken by a later one

A control VM that had stood still carried out an order from before it, which the operator had given to another VM meanwhile.

Cause: the order was proposed whatever time had passed and whether its caller was still there, and applied whatever had come since.

Ruled out: a proposal that was under way (the VM stands still before it reads the order).

The command carries the number of that state; a later change of the same failure domain overtakes it.

--- a/pkg/revision/revision.go
+++ b/pkg/revision/revision.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 
 	daisyhatchv1 "github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1"
@@ -30,10 +31,12 @@
 // Store holds the state. It isn't safe for concurrent use.
 type Store struct {
 	state State
+	// changedAt is the number of the latest change of each failure domain that was ever out.
+	changedAt map[string]uint64
 }
 
 // New returns an empty Store.
-func New() *Store { return &Store{} }
+func New() *Store { return &Store{changedAt: make(map[string]uint64)} }
 
 // State returns what is in force.
 func (s *Store) State() State { return s.state }
@@ -53,7 +56,8 @@
 	return &daisyhatchv1.RevisionResult{Outcome: outcome, VersionInForce: s.state.Version}, nil
 }
 
-// Domain takes a failure domain out of service or back in. Repeating a command changes nothing.
+// Domain takes a failure domain out of service or back in. Repeating a command changes nothing. A command with a base is overtaken
+// by a change of the same failure domain after it: whoever gave the order has been told of a later one since.
 func (s *Store) Domain(c *daisyhatchv1.DomainCommand) (*daisyhatchv1.DomainResult, error) {
 	name := c.GetFailureDomain()
 	if name == "" || len(name) > maxName {
@@ -63,6 +67,12 @@
 	if out == c.GetOut() {
 		return &daisyhatchv1.DomainResult{}, nil
 	}
+	// Replicas of builds that don't know the base carry the command out, and must count alike.
+	s.state.Number++
+	if c.BaseNumber != nil && s.changedAt[name] > c.GetBaseNumber() {
+		return &daisyhatchv1.DomainResult{Overtaken: true}, nil
+	}
+	s.changedAt[name] = s.state.Number
 	domains := slices.Clone(s.state.DomainsOut)
 	if c.GetOut() {
 		domains = slices.Insert(domains, i, name)
@@ -70,7 +80,6 @@
 		domains = slices.Delete(domains, i, i+1)
 	}
 	s.state.DomainsOut = domains
-	s.state.Number++
 	return &daisyhatchv1.DomainResult{Changed: true}, nil
 }
 
@@ -78,12 +87,14 @@
 func (s *Store) Snapshot() *daisyhatchv1.RevisionSnapshot {
 	return &daisyhatchv1.RevisionSnapshot{
 		Version: s.state.Version, Document: s.state.Document, DomainsOut: s.state.DomainsOut, Number: s.state.Number,
+		DomainChanges: maps.Clone(s.changedAt),
 	}
 }
 
 // Restore returns the Store of a snapshot; a missing one is empty.
 func Restore(s *daisyhatchv1.RevisionSnapshot) *Store {
-	return &Store{state: State{
-		Version: s.GetVersion(), Document: s.GetDocument(), DomainsOut: s.GetDomainsOut(), Number: s.GetNumber(),
-	}}
+	out := New()
+	out.state = State{Version: s.GetVersion(), Document: s.GetDocument(), DomainsOut: s.GetDomainsOut(), Number: s.GetNumber()}
+	maps.Copy(out.changedAt, s.GetDomainChanges())
+	return out
 }
--- a/pkg/revision/revision_test.go
+++ b/pkg/revision/revision_test.go
@@ -71,3 +71,49 @@
 	require.ErrorIs(t, err, ErrCommand)
 	require.Zero(t, s.State().Number)
 }
+
+func domainOrder(name string, out bool, base uint64) *daisyhatchv1.DomainCommand {
+	return &daisyhatchv1.DomainCommand{FailureDomain: name, Out: out, BaseNumber: &base}
+}
+
+// An order that stood still on its way must not undo a later one. Guards against an evacuation that ends by an order which had been
+// given before it.
+func TestLaterOrderOvertakesOneWithAnOlderBase(t *testing.T) {
+	for name, restored := range map[string]bool{"same store": false, "restored store": true} {
+		t.Run(name, func(t *testing.T) {
+			s := New()
+			give := func(name string, out bool, base uint64) *daisyhatchv1.DomainResult {
+				if restored {
+					s = Restore(s.Snapshot())
+				}
+				r, err := s.Domain(domainOrder(name, out, base))
+				require.NoError(t, err)
+				return r
+			}
+			require.True(t, give("a", true, 0).GetChanged())
+			stale := s.State().Number
+			require.True(t, give("a", false, stale).GetChanged(), "the same order, given elsewhere")
+			require.True(t, give("a", true, s.State().Number).GetChanged())
+			before := s.State()
+			r := give("a", false, stale)
+			require.True(t, r.GetOvertaken())
+			require.False(t, r.GetChanged())
+			require.Equal(t, before.DomainsOut, s.State().DomainsOut)
+			require.Equal(t, before.Number+1, s.State().Number, "replicas that don't know the base count it as a change")
+		})
+	}
+}
+
+// Orders that were sent twice, concern another failure domain, or bear no base are carried out.
+func TestHonestOrdersAreNotOvertaken(t *testing.T) {
+	s := New()
+	for _, c := range []*daisyhatchv1.DomainCommand{
+		domainOrder("a", true, 0), domainOrder("a", true, 0), domainOrder("b", true, 0), domainOrder("b", false, 2), domainOrder("b", false, 2),
+		{FailureDomain: "a", Out: false},
+	} {
+		r, err := s.Domain(c)
+		require.NoError(t, err)
+		require.False(t, r.GetOvertaken(), c.String())
+	}
+	require.Empty(t, s.State().DomainsOut)
+}
