fleet: a departure is acknowledged once the replicated log holds it

Cause: the departure was held in the memory of control VMs only, and entry VMs are told up to 100 ms later.

Ruled out: a late announcement (the server announces nothing after its DELETE); with the entry VMs killed as well nothing was sent there, before as after.

Change: package departure in the replicated state; control VMs take its records from the log at each start. A DELETE whose sender has left by the time the group has confirmed the VM's state is refused.

--- a/pkg/fleet/commands.go
+++ b/pkg/fleet/commands.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	daisyhatchv1 "github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1"
+	"github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1/daisyhatchv1connect"
 	"github.com/daisyhatch/daisyhatch/pkg/directory"
 	"github.com/daisyhatch/daisyhatch/pkg/fsm"
 )
@@ -122,9 +123,8 @@
 	return view.Revision.Number, nil
 }
 
-// Announce records a server's announcement. One that says that the server is draining or gone is acknowledged only
-// once LossesBorne other control VMs have stored it, so that one copy survives the loss of
-// LossesBorne VMs; Announce returns ErrUnavailable otherwise.
+// Announce records a server's announcement. One that says that the server is draining or gone is acknowledged only once the
+// control group has recorded it; Announce returns ErrUnavailable otherwise.
 func (c *Control) Announce(ctx context.Context, s directory.Server) error {
 	if err := c.checkServer(&s); err != nil {
 		return err
@@ -137,7 +137,7 @@
 	if s.State == directory.Ready {
 		return nil
 	}
-	return c.relay(ctx, s)
+	return c.recordDeparture(ctx, s)
 }
 
 // Rejected logs an announcement that was rejected; some lines are left out when there are many.
@@ -157,40 +157,46 @@
 	return err
 }
 
-// Leave records a server's departure and acknowledges it as Announce does.
+// Leave records a server's departure and acknowledges it as Announce does. A caller that has left is refused, since the server may
+// have told its departure elsewhere and started again since.
 func (c *Control) Leave(ctx context.Context, id string) error {
 	if err := c.checkServer(&directory.Server{ID: id, State: directory.Gone}); err != nil {
 		return err
 	}
+	limited, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	_, unconfirmed := c.currentNumber(limited)
+	if ctx.Err() != nil {
+		c.opts.Log.Info("departure refused", "server", id, "reason", "the caller has left", "error", errorText(unconfirmed))
+		return fmt.Errorf("%w: the caller has left", ErrUnavailable)
+	}
 	s := c.opts.State.Leave(id, time.Now())
 	c.opts.Log.Info("server left", "server", id, "service", s.Service, "address", s.Address)
-	return c.relay(ctx, s)
+	return c.recordDeparture(limited, s)
 }
 
-// relay sends a server's departure to the other control VMs and waits until LossesBorne of them have stored it.
-func (c *Control) relay(ctx context.Context, s directory.Server) error {
-	req := &daisyhatchv1.RelayRequest{Servers: []*daisyhatchv1.AnnouncedServer{serverToWire(s, time.Now())}}
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
-	defer cancel()
-	addresses := c.opts.Roster.Addresses(time.Now())
-	results := make(chan error, len(addresses))
-	for _, a := range addresses {
-		go func() {
-			_, err := c.client(a).Relay(ctx, connect.NewRequest(req))
-			results <- err
-		}()
-	}
-	stored := 0
-	for range addresses {
-		if err := <-results; err == nil {
-			stored++
-		}
-		if stored >= c.opts.LossesBorne {
-			return nil
-		}
+// recordDeparture tells the other control VMs of a server's departure and returns once the control group has recorded it.
+func (c *Control) recordDeparture(ctx context.Context, s directory.Server) error {
+	wire := serverToWire(s, time.Now())
+	if c.opts.Machine.DepartureKnown(wire) {
+		return nil
 	}
-	return fmt.Errorf("%w: %d other control VMs stored the departure of %s, %d must",
-		ErrUnavailable, stored, s.ID, c.opts.LossesBorne)
+	// Those that apply the log later learn of it at once this way.
+	go c.relay(wire)
+	_, err := c.propose(ctx, &daisyhatchv1.Command{Body: &daisyhatchv1.Command_Departure{Departure: &daisyhatchv1.DepartureCommand{Server: wire}}})
+	if err != nil {
+		c.opts.Log.Info("departure not recorded", "server", s.ID, "error", err.Error())
+	}
+	return err
+}
+
+// relay sends a server's departure to the other control VMs.
+func (c *Control) relay(s *daisyhatchv1.AnnouncedServer) {
+	req := &daisyhatchv1.RelayRequest{Servers: []*daisyhatchv1.AnnouncedServer{s}}
+	c.callPeers(context.Background(), relayTimeout, func(ctx context.Context, cl daisyhatchv1connect.FleetServiceClient) error {
+		_, err := cl.Relay(ctx, connect.NewRequest(req))
+		return err
+	})
 }
 
 // Relay implements FleetService.
--- a/pkg/fleet/control.go
+++ b/pkg/fleet/control.go
@@ -14,6 +14,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
 
 	daisyhatchv1 "github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1"
 	"github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1/daisyhatchv1connect"
@@ -35,8 +36,7 @@
 const (
 	// requestTimeout limits a proposal or a read. It is below the second after which callers give up.
 	requestTimeout = 900 * time.Millisecond
-	// relayTimeout limits how long a departure waits for other control VMs to store it. It is below the second after
-	// which servers give up.
+	// relayTimeout limits how long another control VM is told of a departure directly.
 	relayTimeout = 700 * time.Millisecond
 	// joinInterval is the time between two requests to join the control group.
 	joinInterval = 500 * time.Millisecond
@@ -182,6 +182,7 @@
 // syncReplicatedState copies the replicated state into the VM's State whenever it changes, until ctx ends.
 func (c *Control) syncReplicatedState(ctx context.Context) {
 	deliveredVersion, shared := uint64(0), []*daisyhatchv1.Suspect(nil)
+	departures := uint64(0)
 	for {
 		view, changed := c.opts.Machine.View()
 		r := view.Revision
@@ -189,6 +190,10 @@
 		if r.Number > c.opts.State.Number() {
 			c.applyRevision(r.Number, r.Version, r.Document, r.DomainsOut)
 		}
+		if view.DeparturesNumber != departures {
+			c.mergeDepartures(departures)
+			departures = view.DeparturesNumber
+		}
 		if view.SuspectsVersion != deliveredVersion {
 			before := shared
 			deliveredVersion, shared = view.SuspectsVersion, sharedSuspects(view.Suspects)
@@ -207,6 +212,18 @@
 	}
 }
 
+// mergeDepartures merges the departures recorded after the one with a number into the VM's State.
+func (c *Control) mergeDepartures(number uint64) {
+	var servers []*daisyhatchv1.AnnouncedServer
+	now := time.Now()
+	for _, d := range c.opts.Machine.DeparturesSince(number) {
+		s := proto.CloneOf(d.GetServer())
+		s.AgeMs = max(0, now.UnixMilli()-d.GetRecordedUnixMs())
+		servers = append(servers, s)
+	}
+	c.opts.State.Merge(serversFromWire(servers, now))
+}
+
 // applyRevision applies a replicated state to the VM's State. A configuration that can't be parsed leaves the earlier one in
 // use.
 func (c *Control) applyRevision(number, version uint64, document []byte, domainsOut []string) {
--- a/pkg/fsm/fsm.go
+++ b/pkg/fsm/fsm.go
@@ -1,5 +1,6 @@
 // Package fsm is the replicated state machine of the control VMs: configuration versions, leases, the claim ledger,
-// crash suspects, orders to engines, revisions of raw documents, and owners of stage calls. It depends on the log alone, so that all control VMs agree.
+// crash suspects, orders to engines, revisions of raw documents, owners of stage calls, and departures of backend servers. It depends
+// on the log alone, so that all control VMs agree.
 package fsm
 
 import (
@@ -11,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	daisyhatchv1 "github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1"
+	"github.com/daisyhatch/daisyhatch/pkg/departure"
 	"github.com/daisyhatch/daisyhatch/pkg/lease"
 	"github.com/daisyhatch/daisyhatch/pkg/ledger"
 	"github.com/daisyhatch/daisyhatch/pkg/order"
@@ -43,6 +45,7 @@
 	orders      *order.Book
 	revisions   *revision.Store
 	stageOwners *stageowner.Table
+	departures  *departure.Table
 	view        View
 	changed     chan struct{}
 	// completed is closed and made anew when claims end.
@@ -65,6 +68,7 @@
 		orders:      order.New(),
 		revisions:   revision.New(),
 		stageOwners: stageowner.New(),
+		departures:  departure.New(),
 		changed:     make(chan struct{}),
 		completed:   make(chan struct{}),
 	}
@@ -148,6 +152,9 @@
 	case *daisyhatchv1.Command_StageOwner:
 		r, err := m.stageOwners.Apply(b.StageOwner)
 		return orFailed(&daisyhatchv1.Result{Body: &daisyhatchv1.Result_StageOwner{StageOwner: r}}, err)
+	case *daisyhatchv1.Command_Departure:
+		r, err := m.departures.Apply(b.Departure, now)
+		return orFailed(&daisyhatchv1.Result{Body: &daisyhatchv1.Result_Departure{Departure: r}}, err)
 	case nil:
 		return &daisyhatchv1.Result{}
 	default:
@@ -173,6 +180,7 @@
 		Orders:          m.orders.Snapshot(),
 		Revision:        m.revisions.Snapshot(),
 		StageOwners:     m.stageOwners.Snapshot(),
+		Departures:      m.departures.Since(0),
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
 	if err != nil {
@@ -206,6 +214,7 @@
 	m.orders = n.orders
 	m.revisions = n.revisions
 	m.stageOwners = n.stageOwners
+	m.departures = n.departures
 	m.restored = true
 	m.ended = true
 	m.publishView()
@@ -217,6 +226,7 @@
 	m.index = s.GetIndex()
 	m.clock = clock{nowMs: s.GetNowUnixMs(), stamps: s.GetStamps()}
 	m.revisions = revision.Restore(s.GetRevision())
+	m.departures = departure.Restore(s.GetDepartures())
 	var errs [6]error
 	m.publication, errs[0] = publication.Restore(s.GetPublication())
 	m.leases, errs[1] = lease.Restore(s.GetLeases())
--- a/pkg/fsm/twin_test.go
+++ b/pkg/fsm/twin_test.go
@@ -22,7 +22,7 @@
 		TimeUnixMs: now + rapid.Int64Range(-5000, 5000).Draw(t, "skew"),
 		Proposer:   name("vm").Draw(t, "proposer"),
 	}
-	kinds := []func(*rapid.T, *daisyhatchv1.Command){publish, leaseCommand, claim, complete, crash, orderCommand, orderResult}
+	kinds := []func(*rapid.T, *daisyhatchv1.Command){publish, leaseCommand, claim, complete, crash, orderCommand, orderResult, departureCommand}
 	kind := rapid.IntRange(0, len(kinds)).Draw(t, "kind")
 	if kind < len(kinds) {
 		kinds[kind](t, c)
@@ -38,6 +38,13 @@
 	return c
 }
 
+func departureCommand(t *rapid.T, c *daisyhatchv1.Command) {
+	c.Body = &daisyhatchv1.Command_Departure{Departure: &daisyhatchv1.DepartureCommand{Server: &daisyhatchv1.AnnouncedServer{
+		Id: name("i").Draw(t, "id"), BornUnixMs: rapid.Int64Range(0, 3).Draw(t, "born"),
+		State: daisyhatchv1.AnnouncedState(rapid.IntRange(1, 3).Draw(t, "state")),
+	}}}
+}
+
 func publish(t *rapid.T, c *daisyhatchv1.Command) {
 	c.Body = &daisyhatchv1.Command_Publish{Publish: &daisyhatchv1.PublishCommand{
 		ChangeId:      fmt.Sprint(rapid.IntRange(0, 15).Draw(t, "change")),
--- a/pkg/fsm/view.go
+++ b/pkg/fsm/view.go
@@ -29,6 +29,8 @@
 	StageOwners []stageowner.Owner
 	// StageOwnersNumber grows with each change of StageOwners.
 	StageOwnersNumber uint64
+	// DeparturesNumber grows with each departure of a backend server that is recorded.
+	DeparturesNumber uint64
 }
 
 // publishView wakes those that wait on Changed when the view differs.
@@ -53,9 +55,10 @@
 	}
 	m.restored = false
 	m.view.Revision = m.revisions.State()
+	m.view.DeparturesNumber = m.departures.Number()
 	same := old.InForce == m.view.InForce && old.SuspectsNumber == m.view.SuspectsNumber &&
 		old.LeasesNumber == m.view.LeasesNumber && old.Revision.Number == m.view.Revision.Number &&
-		old.StageOwnersNumber == m.view.StageOwnersNumber
+		old.StageOwnersNumber == m.view.StageOwnersNumber && old.DeparturesNumber == m.view.DeparturesNumber
 	if !same {
 		close(m.changed)
 		m.changed = make(chan struct{})
@@ -127,6 +130,20 @@
 	return out
 }
 
+// DeparturesSince returns the departures recorded after the one with a number. They must not be changed.
+func (m *Machine) DeparturesSince(number uint64) []*daisyhatchv1.Departure {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.departures.Since(number)
+}
+
+// DepartureKnown reports whether this or a later state of a server is recorded.
+func (m *Machine) DepartureKnown(s *daisyhatchv1.AnnouncedServer) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.departures.Known(s)
+}
+
 // Claim returns the state of a claim, nil when its key is not recorded, and a channel that is closed when claims end.
 func (m *Machine) Claim(k ledger.Key) (*daisyhatchv1.ClaimResult, <-chan struct{}) {
 	m.mu.Lock()
