daemon: SIGHUP ends no process that starts or stops

Cause: nobody asked for the signal before the follower started or after it had stopped, nor on a VM without a fleet. SIGTERM during the start ended the process likewise.

Change: internal/signals asks for the signals while the process initialises and never gives them back.

What comes in the very first milliseconds still ends the process.

--- a/cmd/daisyhatchd/main.go
+++ b/cmd/daisyhatchd/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/daisyhatch/daisyhatch/internal/signals"
 	"github.com/daisyhatch/daisyhatch/pkg/daemon"
 	"github.com/daisyhatch/daisyhatch/pkg/settings"
 	"github.com/daisyhatch/daisyhatch/pkg/version"
@@ -53,7 +54,7 @@
 		fmt.Println("settings are valid")
 		return
 	}
-	if err := daemon.Run(context.Background(), s); err != nil {
+	if err := daemon.Run(context.Background(), s, daemon.Signals{Stop: signals.Stop, Hangup: signals.Hangup}); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailed)
 	}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -10,7 +10,6 @@
 	"io"
 	"log/slog"
 	"os"
-	"os/signal"
 	"syscall"
 
 	"github.com/go-logr/logr"
@@ -39,6 +38,14 @@
 	parsed      *parsed
 	parser      *config.Parser
 	network     listen.Network
+	// hangup receives SIGHUP; nil if the services share their process with others.
+	hangup <-chan os.Signal
+}
+
+// Signals are the signals that are sent to the process.
+type Signals struct {
+	// Stop receives SIGTERM and SIGINT, Hangup SIGHUP.
+	Stop, Hangup <-chan os.Signal
 }
 
 // NewLogger returns the daemon's logger: JSON lines to out. level is error, info or debug.
@@ -57,38 +64,50 @@
 }
 
 // Run runs the daemon until ctx ends or the process is told to stop by SIGTERM or SIGINT. A second signal stops
-// it at once.
-func Run(ctx context.Context, s *settings.Settings) error {
+// it at once. SIGHUP makes a VM of a fleet read its seeds anew, and is ignored by others.
+func Run(ctx context.Context, s *settings.Settings, sent Signals) error {
 	sink := logsink.New(os.Stdout)
 	defer sink.Close()
 	log := NewLogger(sink, s.Log.Level, s.VM.Name)
 	b := bus.New(log)
-	k, err := Build(s, log, b, invariant.NewRecorder(log), listen.Network{})
+	p, err := newProcess(s, invariant.NewRecorder(log), listen.Network{})
+	if err != nil {
+		return err
+	}
+	p.hangup = sent.Hangup
+	k, err := p.build(log, b)
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
 	if err := k.Start(ctx); err != nil {
 		return errors.Join(err, b.Close())
 	}
 	log.Info("started", "version", version.Version, "roles", s.VM.Roles, "failure_domain", s.VM.FailureDomain)
+	if s.Fleet == nil {
+		go ignoreHangups(sent.Hangup, log)
+	}
 	select {
 	case <-ctx.Done():
-	case sig := <-signals:
+	case sig := <-sent.Stop:
 		log.Info("stopping", "signal", sig.String())
 	}
-	return errors.Join(stop(k, s, log, signals), b.Close())
+	return errors.Join(stop(k, s, log, sent.Stop), b.Close())
+}
+
+// ignoreHangups logs each SIGHUP of a VM that has nothing to read anew.
+func ignoreHangups(hangup <-chan os.Signal, log logr.Logger) {
+	for range hangup {
+		log.Info("signal ignored", "signal", syscall.SIGHUP.String(), "reason", "only the seeds of a fleet are read anew")
+	}
 }
 
 // stop stops all services within the balancer's delay and the stop limit; a further signal ends the wait.
-func stop(k *kernel.Kernel, s *settings.Settings, log logr.Logger, signals <-chan os.Signal) error {
+func stop(k *kernel.Kernel, s *settings.Settings, log logr.Logger, further <-chan os.Signal) error {
 	ctx, cancel := context.WithTimeoutCause(context.Background(), s.Shutdown.BalancerDelay+s.Shutdown.StopLimit, ErrStopLimit)
 	defer cancel()
 	go func() {
 		select {
-		case sig := <-signals:
+		case sig := <-further:
 			log.Info("stopping at once; requests in flight are cut off", "signal", sig.String())
 			cancel()
 		case <-ctx.Done():
@@ -107,18 +126,29 @@
 func Build(
 	s *settings.Settings, log logr.Logger, b *bus.Bus, inv *invariant.Recorder, n listen.Network,
 ) (*kernel.Kernel, error) {
+	p, err := newProcess(s, inv, n)
+	if err != nil {
+		return nil, err
+	}
+	return p.build(log, b)
+}
+
+func newProcess(s *settings.Settings, inv *invariant.Recorder, n listen.Network) (*process, error) {
 	id, err := newIncarnation(s)
 	if err != nil {
 		return nil, err
 	}
 	parser := config.NewParser()
-	p := &process{
+	return &process{
 		settings: s, incarnation: id, invariants: inv, parsed: &parsed{parser: parser}, parser: parser, network: n,
-	}
-	k := kernel.New(log, b)
+	}, nil
+}
+
+func (p *process) build(log logr.Logger, b *bus.Bus) (*kernel.Kernel, error) {
+	k, s := kernel.New(log, b), p.settings
 	services := []kernel.Service{&ops{process: p}, &peers{process: p}}
 	if s.Fleet != nil {
-		p.network = fleetNetwork(n)
+		p.network = fleetNetwork(p.network)
 		more, err := fleetServices(p)
 		if err != nil {
 			return nil, fmt.Errorf("daemon: %w", err)
--- a/pkg/daemon/fleet.go
+++ b/pkg/daemon/fleet.go
@@ -7,10 +7,8 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -321,9 +319,6 @@
 
 // reload takes changed seeds over at SIGHUP, and when the file was changed.
 func (f *fleetFollow) reload(ctx context.Context) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	tick := time.NewTicker(reloadInterval)
 	defer tick.Stop()
 	seen := modified(f.file)
@@ -332,7 +327,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangup:
+		case <-f.hangup:
 			reason = "signal"
 		case <-tick.C:
 			now := modified(f.file)
