relay: a refusal for the configuration is logged with what was asked for

The operators' record shows refusals with 404 whose lines name neither id, host nor path, so that a wrong request can't be told from a route that was added and isn't in force here. Such lines (404 without a route, 401) now hold them, bounded to 128 characters, beside the version and the age of the state, which were there.

--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -296,6 +296,8 @@
 	path, _, _ := strings.Cut(x.req.RequestURI, "?")
 	x.route = x.catalog.Match(hostOf(x.req.Host), path)
 	if x.route == nil {
+		// The call is only logged; an id that can't be read is left out.
+		x.call, _ = x.relay.opts.Dialect.Call(x.req.Header)
 		x.refuse(http.StatusNotFound, 0, "no route matches")
 		return false
 	}
@@ -456,8 +458,15 @@
 		"parts", formatFingerprints(x.parts),
 		"version", version, "state", k.Number(), "state_age_ms", k.ContactAge(time.Now()).Milliseconds(),
 	}
+	if x.status == http.StatusNotFound && x.route == nil || x.status == http.StatusUnauthorized {
+		path, _, _ := strings.Cut(x.req.RequestURI, "?")
+		fields = append(fields, "host", fmt.Sprintf(loggedText, hostOf(x.req.Host)), "path", fmt.Sprintf(loggedText, path))
+	}
 	if suppressed > 0 {
 		fields = append(fields, "lines_left_out", suppressed)
 	}
 	x.relay.opts.Log.Info("request", fields...)
 }
+
+// loggedText bounds a text of the caller in a log line, in characters.
+const loggedText = "%.128s"
