relay: an event of a stream is bounded whatever its lines are

Reported by operators of similar systems: a replica that sends bytes without end takes the memory of the machine that called it, and the requests of others end with it. Here: 20 streams whose event doesn't end took 4,819 MiB of an entry VM in 3 s.

Cause: readEvent compared the event with its bound of 1 MiB only for a line longer than the read buffer.

Ruled out: heads and bodies, which have bounds of their own (141 MiB or less for 280 requests).

Test: TestEventIsBounded failed for short lines and for lines as long as the buffer before.

--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -138,10 +138,10 @@
 		line, err := r.ReadSlice('\n')
 		event = append(event, line...)
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && len(event) < maxEventBytes:
-			continue
-		case errors.Is(err, bufio.ErrBufferFull):
+		case len(event) > maxEventBytes:
 			return nil, errEventTooLarge
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
 		case err == io.EOF && len(event) == 0:
 			return nil, io.EOF
 		case err == io.EOF:
