relay, stagecall: the memory of large answers is bounded in sum

Reported by operators of similar systems: answers without end take the memory of a VM. Here: 280 answers, or events of a stream, that stop just before their bound of 1 MiB took 584 and 646 MiB of an entry VM; the smallest in service has 284 MiB.

Cause: each answer is bounded, their sum wasn't.

Ruled out: heads; bodies beyond 1 MiB, which end the send.

Change: package bodylimit keeps up to 64 KiB of any answer, and 32 larger ones at the same time; others are read on once one of those is passed on, so that their servers wait and none is cut. A large one gets one buffer.

--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -22,6 +22,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/daisyhatch/daisyhatch/pkg/allowance"
+	"github.com/daisyhatch/daisyhatch/pkg/bodylimit"
 	"github.com/daisyhatch/daisyhatch/pkg/catalog"
 	"github.com/daisyhatch/daisyhatch/pkg/dialect"
 	"github.com/daisyhatch/daisyhatch/pkg/directory"
@@ -98,6 +99,8 @@
 	noServerRetryAfter = 700 * time.Millisecond
 	// defaultCallerTimeout applies to callers that do not state a timeout.
 	defaultCallerTimeout = 30 * time.Second
+	// largeAnswers is how many answers, or events of a stream, of up to 1 MiB are kept at the same time.
+	largeAnswers = 32
 	// cleanupInterval is how often state of removed servers and expired idle connections are dropped.
 	cleanupInterval = 2 * time.Second
 )
@@ -110,6 +113,7 @@
 	notSentLog  *logsink.Budget
 	givenUpLog  *logsink.Budget
 	limiter     *limiter.Limiter
+	bodies      *bodylimit.Limiter
 	stopping    atomic.Bool
 	// stopEnd is when the VM cuts off what is in flight; nil or zero while that is not known.
 	stopEnd atomic.Pointer[time.Time]
@@ -141,6 +145,7 @@
 	return &Relay{
 		opts: o, sends: sends, endSends: endSends, answers: answers, endAnswers: endAnswers, routeTimes: make(map[string]routeTime), cold: allowance.NewWindow(time.Second), answeredLog: logsink.NewBudget(logsink.AnsweredPerSecond), notSentLog: logsink.NewBudget(logsink.AnsweredPerSecond),
 		givenUpLog: logsink.NewBudget(logsink.AnsweredPerSecond),
+		bodies:     bodylimit.New(largeAnswers),
 		limiter:    limiter.New(o.View, o.Log), health: newHealth(), placements: placement.NewPlacer(),
 		plainInFlight: make(map[string]int), inStages: make(map[string]int), maxTimeout: make(map[string]time.Duration),
 		liveness: liveness.New(o.Pool, o.View),
@@ -206,6 +211,7 @@
 	x.outlastStop = context.AfterFunc(r.answers, func() { end(errStopping) })
 	defer x.outlastStop()
 	defer x.finish()
+	defer x.room.Release()
 	x.run()
 }
 
@@ -222,6 +228,8 @@
 	deadline time.Time
 	// waited is the estimated time that the caller spent in earlier, refused attempts.
 	waited time.Duration
+	// room permits the answer, or the event of a stream, that is kept.
+	room bodylimit.Room
 
 	catalog      *catalog.Set
 	route        *catalog.Route
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -187,7 +187,7 @@
 		res.status = sendAnswered
 		return
 	}
-	body, err := readWhole(a, success)
+	body, err := x.readWhole(a, success)
 	if err != nil {
 		res.status, res.err = sendOutcomeUnknown, err
 		x.logUnanswered(c, res)
@@ -215,13 +215,12 @@
 
 // readWhole reads the body of an answer that is not a stream. It returns an error if the answer is too large, or not whole as far as
 // can be known.
-func readWhole(a *upstream.Answer, success bool) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBody+1))
+func (x *exchange) readWhole(a *upstream.Answer, success bool) ([]byte, error) {
+	x.room.Release()
+	body, err := x.relay.bodies.ReadAll(x.ctx, a.Body, a.Length, maxBufferedBody, &x.room)
 	switch {
 	case err != nil:
 		return nil, err
-	case len(body) > maxBufferedBody:
-		return nil, errors.New("the answer is too large")
 	case len(body) == 0 && !a.Delimited && success:
 		return nil, errNothingAfterHead
 	}
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -6,8 +6,10 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
+	"github.com/daisyhatch/daisyhatch/pkg/bodylimit"
 	"github.com/daisyhatch/daisyhatch/pkg/fleet"
 )
 
@@ -29,7 +31,8 @@
 	flusher := http.NewResponseController(x.w)
 	firstEvent := true
 	for {
-		event, err := readEvent(events)
+		x.room.Release()
+		event, err := readEvent(events, func() error { return x.relay.bodies.Grow(x.ctx, &x.room) })
 		if len(event) > 0 {
 			if firstEvent {
 				firstEvent = false
@@ -131,11 +134,18 @@
 }
 
 // readEvent reads one event including the empty line that ends it. It returns io.EOF at the end of the stream,
-// io.ErrUnexpectedEOF when the stream ends within an event, and errEventTooLarge for an event that is too long.
-func readEvent(r *bufio.Reader) ([]byte, error) {
+// io.ErrUnexpectedEOF when the stream ends within an event, errEventTooLarge for an event that is too long, and the error of grow, which
+// is called once the event is larger than bodylimit.SmallBytes.
+func readEvent(r *bufio.Reader, grow func() error) ([]byte, error) {
 	var event []byte
 	for {
 		line, err := r.ReadSlice('\n')
+		if len(event) <= bodylimit.SmallBytes && len(event)+len(line) > bodylimit.SmallBytes {
+			if gerr := grow(); gerr != nil {
+				return nil, gerr
+			}
+			event = slices.Grow(event, maxEventBytes+streamBufferBytes-len(event))
+		}
 		event = append(event, line...)
 		switch {
 		case len(event) > maxEventBytes:
--- a/pkg/stagecall/runner.go
+++ b/pkg/stagecall/runner.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	daisyhatchv1 "github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1"
+	"github.com/daisyhatch/daisyhatch/pkg/bodylimit"
 	"github.com/daisyhatch/daisyhatch/pkg/catalog"
 	"github.com/daisyhatch/daisyhatch/pkg/dialect"
 	"github.com/daisyhatch/daisyhatch/pkg/directory"
@@ -48,6 +49,8 @@
 	freeIntervalAmple = 150 * time.Millisecond
 	// freeTimeout limits a release request; if it fails, the server drops the results once they expire.
 	freeTimeout = time.Second
+	// largeAnswers is how many answers of up to maxResponseBytes are kept at the same time.
+	largeAnswers = 32
 )
 
 // View is the state of the system that a Runner reads and updates.
@@ -89,6 +92,7 @@
 	opts     Options
 	liveness *liveness.Checker
 	limiter  *limiter.Limiter
+	bodies   *bodylimit.Limiter
 
 	// mu and the locks of the pools are never held together, in either order.
 	mu           sync.Mutex
@@ -109,7 +113,7 @@
 		o.Suspects = quarantine.NewTracker(quarantine.TrackerOptions{Log: o.Log})
 	}
 	checker := liveness.New(o.AuxPool, o.View)
-	return &Runner{opts: o, liveness: checker, limiter: limiter.New(o.View, o.Log), pools: make(map[string]*pool), pendingFrees: make(map[string]*pendingFree)}
+	return &Runner{opts: o, liveness: checker, limiter: limiter.New(o.View, o.Log), bodies: bodylimit.New(largeAnswers), pools: make(map[string]*pool), pendingFrees: make(map[string]*pendingFree)}
 }
 
 func (r *Runner) pool(service string) (*pool, error) {
--- a/pkg/stagecall/send.go
+++ b/pkg/stagecall/send.go
@@ -6,6 +6,7 @@
 	"io"
 	"time"
 
+	"github.com/daisyhatch/daisyhatch/pkg/bodylimit"
 	"github.com/daisyhatch/daisyhatch/pkg/dialect"
 	"github.com/daisyhatch/daisyhatch/pkg/directory"
 	"github.com/daisyhatch/daisyhatch/pkg/holdoff"
@@ -62,7 +63,9 @@
 	meta := d.Answer(a.Status, a.Header)
 	p.runner.applyNotice(c.Server.record(), meta.Notice)
 	p.runner.limiter.Record(c.Server.record(), p.service, &meta, false, c.Begun)
-	answer, err := io.ReadAll(io.LimitReader(a.Body, maxResponseBytes))
+	var room bodylimit.Room
+	defer room.Release()
+	answer, err := p.runner.bodies.ReadAll(ctx, a.Body, a.Length, maxResponseBytes, &room)
 	if err != nil {
 		return nil, err
 	}
