fsm: commands of a fleet in a function of their own

The linter refuses the function that applies a command since departures were added (53 statements, 50 are allowed). No change of effect; the tests of pkg/fsm pass.

--- a/pkg/fsm/fsm.go
+++ b/pkg/fsm/fsm.go
@@ -143,6 +143,16 @@
 	case *daisyhatchv1.Command_OrderResult:
 		o, err := m.orders.Result(b.OrderResult, now)
 		return orFailed(&daisyhatchv1.Result{Body: &daisyhatchv1.Result_Order{Order: &daisyhatchv1.OrderResult{Order: o}}}, err)
+	case nil:
+		return &daisyhatchv1.Result{}
+	default:
+		return m.oneOfFleet(c, now)
+	}
+}
+
+// oneOfFleet applies a single command of the VMs of a fleet.
+func (m *Machine) oneOfFleet(c *daisyhatchv1.Command, now int64) *daisyhatchv1.Result {
+	switch b := c.GetBody().(type) {
 	case *daisyhatchv1.Command_Revision:
 		r, err := m.revisions.Publish(b.Revision)
 		return orFailed(&daisyhatchv1.Result{Body: &daisyhatchv1.Result_Revision{Revision: r}}, err)
@@ -155,8 +165,6 @@
 	case *daisyhatchv1.Command_Departure:
 		r, err := m.departures.Apply(b.Departure, now)
 		return orFailed(&daisyhatchv1.Result{Body: &daisyhatchv1.Result_Departure{Departure: r}}, err)
-	case nil:
-		return &daisyhatchv1.Result{}
 	default:
 		return failed(fmt.Errorf("%w: unknown body", ErrCommand))
 	}
