bodylimit: the answer to a HEAD request isn't refused by its announced length

Found by reading before the landing: a HEAD answer that announces more than 1 MiB was taken for too large, though it has no body.

--- a/pkg/bodylimit/bodylimit_test.go
+++ b/pkg/bodylimit/bodylimit_test.go
@@ -43,6 +43,13 @@
 	})
 }
 
+// Guards against a refusal of the answer to a HEAD request by the length that it announces.
+func TestAnnouncedLengthIsNoBody(t *testing.T) {
+	body, err := New(1).ReadAll(t.Context(), bytes.NewReader(nil), 10*limit, limit, &Room{})
+	require.NoError(t, err)
+	require.Empty(t, body)
+}
+
 func TestErrorOfTheSourceIsReturned(t *testing.T) {
 	for _, size := range []int{10, SmallBytes + 10} {
 		src := io.MultiReader(bytes.NewReader(make([]byte, size)), brokenReader{})
