--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -17,6 +17,7 @@
 type sent struct {
 	at     time.Duration
 	node   *node
+	path   string
 	status int
 	took   time.Duration
 }
@@ -58,16 +59,16 @@
 	c.n++
 	k := c.n
 	id := fmt.Sprintf("9c41d07b%08x", 0xe2a30000+k)
-	s := &sent{at: c.w.now(), node: n}
-	c.sent[id] = s
-	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
 	req := build(id, k).WithContext(ctx)
+	s := &sent{at: c.w.now(), node: n, path: req.URL.Path}
+	c.sent[id] = s
+	c.mu.Unlock()
 	req.URL.Scheme, req.URL.Host = "http", fmt.Sprintf("%s:%d", n.ip, portFrontend)
 	req.Header.Set(header+"Attempt-Id", id)
 	req.Header.Set(header+"Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
-	c.w.note("client sends %s to %s", id, n.name)
+	c.w.note("client sends %s for %s to %s", id, s.path, n.name)
 	status, text := 0, ""
 	res, err := caller.Do(req)
 	if err == nil {
