--- a/review/standin-3/founder.go
+++ b/review/standin-3/founder.go
@@ -20,12 +20,15 @@
 		return unable
 	}
 	defer w.end()
-	if err := w.startAll(); err != nil {
-		w.say("can't start: %v", err)
-		return unable
-	}
-	if trouble {
-		lost := w.cores[2]
+	for _, m := range w.all {
+		if err := w.start(m, true); err != nil {
+			w.say("can't start: %v", err)
+			return unable
+		}
+		if !trouble || m != w.cores[2] {
+			continue
+		}
+		lost := m
 		w.say("platform: %s is gone for good", lost.name)
 		w.kill(lost)
 		go func() {
@@ -47,7 +50,7 @@
 	}
 	accepted := make(chan error, 1)
 	go func() {
-		status, _, err := w.order(http.MethodPut, "/-/config", configuration(1), 85*time.Second)
+		status, _, err := w.order(http.MethodPut, "/-/config", configuration(1), 60*time.Second)
 		if err == nil && status != http.StatusOK {
 			err = fmt.Errorf("status %d", status)
 		}
@@ -61,7 +64,7 @@
 	var last error
 	select {
 	case last = <-accepted:
-	case <-time.After(90 * time.Second):
+	case <-time.After(65 * time.Second):
 		last = errors.New("not accepted")
 	}
 	if last == nil {
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -284,16 +284,6 @@
 	_ = w.record.Close()
 }
 
-// startAll starts all machines for the first time.
-func (w *world) startAll() error {
-	for _, m := range append(append([]*machine(nil), w.cores...), w.edges...) {
-		if err := w.start(m, true); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 var errNoAnswer = errors.New("no clear answer")
 
 // order sends an order to the core machines in turn until one answers 2xx, or a final refusal, or limit is over. A call waits for a
