--- a/review/standin-3/replica.go
+++ b/review/standin-3/replica.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -27,6 +28,26 @@
 	mu       sync.Mutex
 	sequence int
 	ran      map[string]int
+	// fails is the share of requests that the replica runs and answers with 503.
+	fails float64
+}
+
+func (r *replica) setFails(share float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fails = share
+	r.w.say("replica: %s fails %.1f of its requests from now on", r.id, share)
+}
+
+// runs returns how often a request was run by the world's replicas.
+func (w *world) runs(id string) int {
+	n := 0
+	for _, r := range w.replicas {
+		r.mu.Lock()
+		n += r.ran[id]
+		r.mu.Unlock()
+	}
+	return n
 }
 
 const heartbeat = 1200 * time.Millisecond
@@ -44,6 +65,7 @@
 	}
 	r.server = &http.Server{Handler: r}
 	go func() { _ = r.server.Serve(ln) }()
+	w.replicas = append(w.replicas, r)
 	go r.announce()
 	return r, nil
 }
@@ -96,11 +118,15 @@
 	r.mu.Lock()
 	r.ran[id]++
 	n := r.ran[id]
+	fail := rand.Float64() < r.fails
 	r.mu.Unlock()
-	r.w.say("replica: %s runs request %s, time %d", r.id, id, n)
+	r.w.say("replica: %s of %s runs request %s %s, time %d", r.id, r.service, id, req.URL.Path, n)
 	time.Sleep(20 * time.Millisecond)
 	h.Set("X-Daisyhatch-Response-Signature", strconv.FormatInt(r.born, 16)+"."+id)
 	h.Set("Content-Type", "application/json")
+	if fail {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
 	_ = json.NewEncoder(w).Encode(map[string]string{"ran": id})
 }
 
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -52,7 +52,9 @@
 	cores  []*machine
 	edges  []*machine
 	all    []*machine
-	seeds  []string
+	// replicas are those that were started.
+	replicas []*replica
+	seeds    []string
 	// added receives core machines that were added.
 	added chan *machine
 }
