--- a/review/standin-3/config.go
+++ b/review/standin-3/config.go
@@ -7,6 +7,12 @@
 // configuration is a small configuration.
 func configuration(version int) []byte { return mustJSON(smallConfiguration(version)) }
 
+func withTenants(version int, tenants []object) []byte {
+	c := smallConfiguration(version)
+	c["tenants"] = tenants
+	return mustJSON(c)
+}
+
 // smallConfiguration has one safe and one unsafe route of one service.
 func smallConfiguration(version int) object {
 	route := func(name, kind string) object {
