relay: a server's status is told only if what it promises is known to hold

Callers saw: a server ran a booking and answered 503 (or 429, 408) without stating that it had not run it.

Cause: relay.classifyAnswer and nextAction delivered a server's answer with its status whatever was known of the run. Only the VM's own refusals were checked.

Ruled out: the refusal of an earlier request on the connection (each case of the test has a connection of its own), and a second send after the 503 (one run is counted; the fix changes no retry).

Change: package promise decides, without I/O, which status a caller is told out of the status at hand, whether the request may have run and whether it may run again. nextAction asks it for each answer of a server, refuseTold for each refusal of the VM itself. In place of a promise that isn't known to hold comes 502 with a text that names the server's status, without Retry-After. The request line has server_status, and a counter counts these answers.

--- a/pkg/relay/decide.go
+++ b/pkg/relay/decide.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/daisyhatch/daisyhatch/pkg/catalog"
+	"github.com/daisyhatch/daisyhatch/pkg/promise"
 )
 
 // sendStatus is the result of one send to a server.
@@ -45,6 +46,8 @@
 // sendState is the input of nextAction.
 type sendState struct {
 	status sendStatus
+	// answer is the status of the server's answer if there is one that can be delivered.
+	answer int
 	route  *catalog.Route
 	// runs is the number of servers that may have run the request.
 	runs int
@@ -84,7 +87,9 @@
 	mayRetry := s.remaining >= minRetryTime && s.untried > 0 && s.sends < maxSends && (!s.inputsReleased || s.canRerunStages)
 	switch s.status {
 	case sendAnswered:
-		return actionDeliver
+		if s.promiseHolds() {
+			return actionDeliver
+		}
 	case sendNotSent:
 		if mayRetry {
 			return actionRetry
@@ -101,7 +106,7 @@
 		if mayRetry && s.crashes < maxCrashes && s.route.Repeatable() && s.runs < s.route.MaxServers && s.takeRetry() {
 			return actionRetry
 		}
-		if s.status == sendServerFailed && !s.delivered {
+		if s.status == sendServerFailed && !s.delivered && s.promiseHolds() {
 			return actionDeliver
 		}
 	}
@@ -113,3 +118,10 @@
 	}
 	return actionRefuse
 }
+
+// promiseHolds reports whether the caller may be told the status of the server's answer: it promises nothing, or nothing that isn't
+// known to hold.
+func (s *sendState) promiseHolds() bool {
+	known := promise.Known{MayHaveRun: s.runs > 0, Repeatable: s.route.Repeatable()}
+	return known.Status(s.answer) == s.answer
+}
--- a/pkg/relay/decide_test.go
+++ b/pkg/relay/decide_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/daisyhatch/daisyhatch/pkg/catalog"
+	"github.com/daisyhatch/daisyhatch/pkg/promise"
 )
 
 var (
@@ -48,7 +49,10 @@
 		"inputs gone, time left":                  {sendState{status: sendInputsGone, route: stream, canRerunStages: true}, actionRerunStages},
 		"inputs gone, no time":                    {sendState{status: sendInputsGone, route: stream}, actionRefuse},
 		"not run now, may have run before":        {sendState{status: sendNotRun, route: idempotent, runs: 1, untried: 0}, actionFail},
-		"answered":                                {sendState{status: sendAnswered, route: atMostOnce, runs: 1}, actionDeliver},
+		"answered":                                {sendState{status: sendAnswered, answer: 200, route: atMostOnce, runs: 1}, actionDeliver},
+		"promising error, at most once":           {sendState{status: sendServerFailed, answer: 503, route: atMostOnce, runs: 1, untried: 1}, actionFail},
+		"promising answer, stream":                {sendState{status: sendAnswered, answer: 429, route: stream, runs: 1, untried: 1}, actionFail},
+		"promising error, idempotent":             {sendState{status: sendServerFailed, answer: 503, route: idempotent, runs: 2}, actionDeliver},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -64,6 +68,7 @@
 func TestNextActionIsSafeAfterPossibleRun(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := sendState{
+			answer:         rapid.SampledFrom([]int{200, 408, 421, 429, 500, 503}).Draw(t, "answer"),
 			status:         sendStatus(rapid.IntRange(0, int(sendInputsGone)).Draw(t, "status")),
 			route:          rapid.SampledFrom([]*catalog.Route{idempotent, atMostOnce, stream, resumable}).Draw(t, "route"),
 			runs:           rapid.IntRange(0, 3).Draw(t, "runs"),
@@ -85,6 +90,9 @@
 		if got == actionRefuse && (s.runs > 0 || s.delivered) {
 			t.Fatalf("refused although it may have run: %+v", s)
 		}
+		if got == actionDeliver && promise.Made(s.answer) && !s.route.Repeatable() {
+			t.Fatalf("passed on a promise although it may have run: %+v", s)
+		}
 		if s.delivered && (got == actionFail || got == actionRerunStages) {
 			t.Fatalf("second answer after a partial one: %+v", s)
 		}
--- a/pkg/relay/refuse.go
+++ b/pkg/relay/refuse.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/daisyhatch/daisyhatch/pkg/promise"
 	"github.com/daisyhatch/daisyhatch/pkg/returning"
 )
 
@@ -48,6 +49,12 @@
 }
 
 func (x *exchange) refuseTold(status int, told returning.Told, reason string) {
+	// Only a request that has not run is refused; whichever way leads here after a send, no promise may follow.
+	known := promise.Known{MayHaveRun: x.possibleRuns > 0, Repeatable: x.route != nil && x.route.Repeatable()}
+	if status != known.Status(status) {
+		x.fail(known.Status(status), reason)
+		return
+	}
 	x.outcome, x.status, x.reason, x.told = "refused", status, reason, told
 	if told.After > 0 {
 		x.w.Header().Set("Retry-After", strconv.FormatFloat(x.told.After.Seconds(), 'f', 3, 64))
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -332,6 +332,8 @@
 	status  int
 	outcome string
 	reason  string
+	// serverStatus is the status of the server's answer that the caller was not given; 0 without one.
+	serverStatus int
 	// stagesTook and firstByte are times since start: to the end of the stages and to the first byte of the answer.
 	stagesTook time.Duration
 	firstByte  time.Duration
@@ -519,6 +521,9 @@
 	if x.outcome == "refused" {
 		fields = append(fields, "remaining_ms", x.timeLeft().Milliseconds(), "retry_after_ms", x.told.After.Milliseconds(), "in_vain", x.told.InVain)
 	}
+	if x.serverStatus != 0 {
+		fields = append(fields, "server_status", x.serverStatus)
+	}
 	if x.pass.OnTrial() {
 		fields = append(fields, "on_trial", true)
 	}
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -76,7 +77,7 @@
 			x.refuseUntil(x.roomAfterSend(res.status), res.reason())
 		case actionFail:
 			x.drop(res)
-			x.fail(x.failureStatus(), res.reason())
+			x.failAfterSend(res)
 		case actionAbort:
 			x.drop(res)
 			x.abortAnswer(res.reason())
@@ -102,6 +103,17 @@
 	return http.StatusBadGateway
 }
 
+// failAfterSend answers a request that may have run with a failure in place of the server's answer, if there is one.
+func (x *exchange) failAfterSend(res *sendResult) {
+	if status := res.answerStatus(); status != 0 {
+		x.serverStatus = status
+		metrics.GetOrCreateCounter(fmt.Sprintf(`daisyhatch_relay_promises_withheld_total{status="%d"}`, status)).Inc()
+		x.fail(x.failureStatus(), fmt.Sprintf("the server answered with status %d without stating that it did not run the request", status))
+		return
+	}
+	x.fail(x.failureStatus(), res.reason())
+}
+
 // abortAnswer ends a partly delivered answer by closing the connection, so that it does not look complete.
 func (x *exchange) abortAnswer(reason string) {
 	x.outcome, x.reason, x.abort = "cut", reason, true
@@ -214,7 +226,7 @@
 		untried, _ = x.untried(now)
 	}
 	return sendState{
-		status: res.status, route: x.route, runs: x.possibleRuns, sends: sends, delivered: x.headSent,
+		status: res.status, answer: res.answerStatus(), route: x.route, runs: x.possibleRuns, sends: sends, delivered: x.headSent,
 		crashes: x.relay.opts.Suspects.Crashes(x.fingerprint), remaining: x.deadline.Sub(now), untried: len(untried),
 		canRerunStages: x.canRerunStages(), inputsReleased: x.inputs.isReleased(),
 		takeRetry: x.takeRetry,
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -60,6 +60,14 @@
 	return "the server failed"
 }
 
+// answerStatus returns the status of the server's answer; 0 if there is none that can be delivered.
+func (s *sendResult) answerStatus() int {
+	if s.status == sendAnswered || s.status == sendServerFailed {
+		return s.answer.Status
+	}
+	return 0
+}
+
 func (s *sendResult) close() {
 	if s.answer != nil {
 		// Close returns the connection to the pool or drops it; the caller can't act on an error.
