executor: a status that promises no run isn't told once a stage call was sent

Callers saw, on the product's own path: a booking that must run at most once was sent, the server answered 503, and the caller got 503 with code outcome_unknown and run may_have_run. Balancers and HTTP clients go by the status and send it again. A plain service's 408, 421 or 429 was taken for the outcome of the request, passed on and stored, so that each resend with its key got it again.

Found by reading; no case shows it.

Ruled out: a repeat by the system itself (a stage that must not be repeated is not retried once a byte of it was sent; one call is counted).

Change: the state machine asks package promise for the answer that completes a stage, for the error at the end and for a stored outcome. What promises nothing passes as before.

--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -209,7 +209,7 @@
 const (
 	// Refused means that the call certainly did not run: no byte of it was sent, or no connection was made.
 	Refused Kind = iota + 1
-	// Overloaded means that the server was too busy and did not start the call (429 or 503).
+	// Overloaded means that the server answered that it is too busy (429 or 503). Whether it started the call is not known.
 	Overloaded
 	// Crashed means that the connection broke after the call may have been sent, or that another incarnation of the
 	// server responded.
--- a/pkg/executor/claim.go
+++ b/pkg/executor/claim.go
@@ -148,6 +148,11 @@
 		e := apierr.New(http.StatusConflict, apierr.OutcomeNotStored, "the request ran with status %d; its answer was too large to keep", o.Status)
 		return res, e.WithRun(apierr.MayHaveRun)
 	}
+	if !r.m.promiseHolds(o.Status) {
+		// Builds that took such an answer for the outcome stored it.
+		e := apierr.New(http.StatusConflict, apierr.OutcomeUnknown, "the server answered with status %d, and whether the request ran can't be known", o.Status)
+		return res, e.WithRun(apierr.MayHaveRun)
+	}
 	res.Status = o.Status
 	res.ContentType = o.ContentType
 	res.Body = o.Body
--- a/pkg/executor/failure.go
+++ b/pkg/executor/failure.go
@@ -237,12 +237,13 @@
 }
 
 // endWithError marks the error MayHaveRun if anything may have been sent; the claim of an at-most-once request is
-// then settled as unknown.
+// then settled as unknown, and its status promises nothing.
 func (m *machine) endWithError() {
 	if !m.mayHaveRun() {
 		return
 	}
 	m.err = m.err.WithRun(apierr.MayHaveRun)
+	m.err.Status = m.statusAfterSend(m.err.Status)
 	if m.atMostOnce {
 		m.settle = settleUnknown
 		m.err.Code = apierr.OutcomeUnknown
--- a/pkg/executor/machine.go
+++ b/pkg/executor/machine.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"fmt"
 	"strings"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/daisyhatch/daisyhatch/pkg/dispatch"
 	"github.com/daisyhatch/daisyhatch/pkg/engine"
 	"github.com/daisyhatch/daisyhatch/pkg/invariant"
+	"github.com/daisyhatch/daisyhatch/pkg/promise"
 )
 
 const (
@@ -244,12 +246,26 @@
 		m.handleFailure(now, id, o)
 	case m.streamed(a.stage) && o.tokens != len(m.tokens):
 		m.handleFailure(now, id, outcome{failure: &engine.Error{Kind: engine.Truncated, Server: a.server, Sent: true, Err: errStreamMismatch}})
+	case !m.promiseHolds(o.answer.Status):
+		m.handleFailure(now, id, outcome{failure: &engine.Error{
+			Kind: engine.Failed, Server: a.server, Sent: true, Status: o.answer.Status, Body: o.answer.Body,
+			Err: fmt.Errorf("status %d without a statement that the call was not started", o.answer.Status),
+		}})
 	default:
 		m.completeStage(now, id, o.answer)
 	}
 	return m.takeActions()
 }
 
+// promiseHolds reports whether the caller of a request that was sent may be told a status: it promises nothing, or the request may run
+// again.
+func (m *machine) promiseHolds(status int) bool { return m.statusAfterSend(status) == status }
+
+// statusAfterSend returns the status to tell the caller of a request that was sent, where the answer at hand has the given one.
+func (m *machine) statusAfterSend(status int) int {
+	return promise.Known{MayHaveRun: true, Repeatable: !m.atMostOnce}.Status(status)
+}
+
 // completeStage records the answer of a stage; the first complete answer wins. It starts the next step, or finishes
 // the request, once all stages of the step are done.
 func (m *machine) completeStage(now time.Time, id int, answer engine.Answer) {
--- a/pkg/executor/machine_test.go
+++ b/pkg/executor/machine_test.go
@@ -18,6 +18,7 @@
 	"github.com/daisyhatch/daisyhatch/pkg/dispatch"
 	"github.com/daisyhatch/daisyhatch/pkg/engine"
 	"github.com/daisyhatch/daisyhatch/pkg/invariant"
+	"github.com/daisyhatch/daisyhatch/pkg/promise"
 )
 
 // TestMain fixes rapid's seed and number of checks so that runs are reproducible.
@@ -142,6 +143,7 @@
 	}
 	if o.anySent() && o.m.atMostOnce {
 		require.Equal(o.t, settleUnknown, o.m.settle)
+		require.False(o.t, promise.Made(o.m.err.Status), "status %d promises that the request has not run", o.m.err.Status)
 	}
 }
 
@@ -202,9 +204,10 @@
 		o.apply(o.m.onAttemptEnd(o.now, id, outcome{slotErr: apierr.New(http.StatusServiceUnavailable, apierr.NoCapacity, "no free slot")}))
 		return
 	}
-	kinds := []engine.Kind{engine.Refused, engine.Crashed, engine.Silent, engine.Failed, engine.Rejected, engine.Canceled}
+	kinds := []engine.Kind{engine.Refused, engine.Overloaded, engine.Crashed, engine.Silent, engine.Failed, engine.Rejected, engine.Canceled}
 	k := rapid.SampledFrom(kinds).Draw(o.t, "kind")
-	o.apply(o.m.onAttemptEnd(o.now, id, outcome{failure: &engine.Error{Kind: k, Sent: sent}}))
+	status := rapid.SampledFrom([]int{0, 400, 408, 421, 429, 503}).Draw(o.t, "status")
+	o.apply(o.m.onAttemptEnd(o.now, id, outcome{failure: &engine.Error{Kind: k, Sent: sent, Status: status}}))
 }
 
 // TestMachineInvariants drives the machine with random events and checks that it finishes by its deadline.
