catalog: an empty list of organisations closes the routes, a missing one opens them

Callers saw: a configuration whose list of organisations has no entries takes the last keys away.

Cause: Set.KeysNeeded asked whether there is an organisation, and platform read a missing list, an empty one and null into the same empty slice.

Ruled out: a configuration that is not in force yet (the same on one VM with the parsed document in place), and remembered keys (none are).

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -33,7 +33,9 @@
 	Routes   []*Route
 	Services map[string]*Service
 	Limits   Limits
-	// Organisations is empty when callers need no key.
+	// Keyless is true if the configuration lists no organisations at all, so that callers need no key. A list without entries is
+	// another thing: callers need a key, and none has one.
+	Keyless       bool
 	Organisations []*Organisation
 
 	byHost map[string][]*Route
@@ -159,6 +161,9 @@
 	s.byKey = make(map[[sha256.Size]byte]*Organisation)
 	for _, o := range s.Organisations {
 		for _, k := range o.Keys {
+			if k == "" {
+				continue
+			}
 			s.byKey[sha256.Sum256([]byte(k))] = o
 		}
 	}
@@ -184,7 +189,10 @@
 }
 
 // KeysNeeded reports whether requests on routes that are not public need an API key.
-func (s *Set) KeysNeeded() bool { return len(s.Organisations) > 0 }
+func (s *Set) KeysNeeded() bool { return !s.Keyless }
+
+// KeyCount returns the number of API keys that organisations have.
+func (s *Set) KeyCount() int { return len(s.byKey) }
 
 // Pick returns the service that a uniformly distributed draw in [0, 1) selects by the weights of Split.
 func (r *Route) Pick(draw float64) string {
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -35,6 +35,21 @@
 	require.Nil(t, s.Organisation(""))
 }
 
+// A set without organisations needs keys, unless it says that there is no list of them.
+func TestSetNeedsKeysUnlessItSaysOtherwise(t *testing.T) {
+	s := validSet()
+	require.NoError(t, s.Check())
+	require.True(t, s.KeysNeeded())
+	require.Equal(t, 3, s.KeyCount())
+	s.Organisations = nil
+	require.NoError(t, s.Check())
+	require.True(t, s.KeysNeeded())
+	require.Zero(t, s.KeyCount())
+	s.Keyless = true
+	require.NoError(t, s.Check())
+	require.False(t, s.KeysNeeded())
+}
+
 func TestCheckNamesTheFaultOfAnInvalidSet(t *testing.T) {
 	cases := map[string]struct {
 		mutate  func(s *Set)
@@ -50,6 +65,7 @@
 		"no weight":                  {func(s *Set) { s.Routes[0].Split = []Share{{"desk", 0}} }, "add up to 0"},
 		"no timeout":                 {func(s *Set) { s.Routes[0].Timeout = 0 }, "no timeout"},
 		"shared key":                 {func(s *Set) { s.Organisations[1].Keys = []string{"k1"} }, "share a key"},
+		"keys of a keyless set":      {func(s *Set) { s.Keyless = true }, "need no key"},
 		"no version":                 {func(s *Set) { s.Version = 0 }, "version is missing"},
 		"prefix without final slash": {func(s *Set) { s.Routes[0].PathPrefix = "/a" }, "slash"},
 		"no pieces per call":         {func(s *Set) { s.Services["encode"].Batch.Size = 0 }, "takes no pieces"},
--- a/pkg/catalog/check.go
+++ b/pkg/catalog/check.go
@@ -95,6 +95,9 @@
 }
 
 func (c *checker) checkOrganisations() {
+	if c.set.Keyless && len(c.set.Organisations) > 0 {
+		c.report("%d organisations are listed where callers need no key", len(c.set.Organisations))
+	}
 	ownerByKey := make(map[string]string)
 	for _, o := range c.set.Organisations {
 		if o.Name == "" {
--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -114,7 +114,9 @@
 		"objective of one":            {"objective = 0.999", "objective = 1", "a share above 0 and below 1"},
 		"not a number":                {"weight = 8", "weight = NaN", "not a whole number"},
 		"infinite rate":               {"rate = 40", "rate = NaN", "is not within"},
-		"section header":              {`[stage "rank"]`, `[stage rank]`, "a section is written"},
+		// A missing list opens the pipeline to all organisations.
+		"no organisation left": {"organisations = derwent-laundry, tamar-linen, parks-rangers\n", "organisations =\n", "organisations: list has an empty item"},
+		"section header":       {`[stage "rank"]`, `[stage rank]`, "a section is written"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/fleet/control.go
+++ b/pkg/fleet/control.go
@@ -273,7 +273,7 @@
 		}
 	}
 	if c.opts.State.apply(number, set, domainsOut, time.Now()) {
-		c.opts.Log.Info("state in force", "number", number, "version", version, "domains_out", domainsOut)
+		logInForce(c.opts.Log, number, version, domainsOut, set)
 	}
 }
 
--- a/pkg/fleet/follower.go
+++ b/pkg/fleet/follower.go
@@ -394,7 +394,7 @@
 		}
 	}
 	if f.opts.State.apply(m.GetNumber(), set, m.GetDomainsOut(), now) {
-		f.opts.Log.Info("state in force", "number", m.GetNumber(), "version", m.GetVersion(), "domains_out", m.GetDomainsOut())
+		logInForce(f.opts.Log, m.GetNumber(), m.GetVersion(), m.GetDomainsOut(), set)
 	}
 	return true
 }
