relay: what replaces a server's promise is 502 also when the request's time has just ended

failAfterSend took the status of a failed send, which is 504 once the deadline has passed; docs/ERRORS.md and package promise say 502. The tests of promises and refusals of relay and platform pass.

--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -103,15 +103,16 @@
 	return http.StatusBadGateway
 }
 
-// failAfterSend answers a request that may have run with a failure in place of the server's answer, if there is one.
+// failAfterSend answers a request that may have run, in place of the server's answer if there is one.
 func (x *exchange) failAfterSend(res *sendResult) {
-	if status := res.answerStatus(); status != 0 {
-		x.serverStatus = status
-		metrics.GetOrCreateCounter(fmt.Sprintf(`daisyhatch_relay_promises_withheld_total{status="%d"}`, status)).Inc()
-		x.fail(x.failureStatus(), fmt.Sprintf("the server answered with status %d without stating that it did not run the request", status))
+	status := res.answerStatus()
+	if status == 0 {
+		x.fail(x.failureStatus(), res.reason())
 		return
 	}
-	x.fail(x.failureStatus(), res.reason())
+	x.serverStatus = status
+	metrics.GetOrCreateCounter(fmt.Sprintf(`daisyhatch_relay_promises_withheld_total{status="%d"}`, status)).Inc()
+	x.fail(http.StatusBadGateway, fmt.Sprintf("the server answered with status %d without stating that it did not run the request", status))
 }
 
 // abortAnswer ends a partly delivered answer by closing the connection, so that it does not look complete.
