fleet: a departure that is read late doesn't end the server's next incarnation

A server's DELETE that a control VM read only after the server had told its departure elsewhere and started again under the same id took the new incarnation out of service, and recorded that for 90 s.

Cause: Control.Leave looked at ctx.Err() after a round of the control group, as orders for failure domains did, and nothing bound the departure to the incarnation that had sent it: it marked whichever one was known when it was applied.

Change: the departure is refused once its caller doesn't wait any more (fleet.awaited), and ends the incarnation that was known before that check. The round of the group before it, which only gave net/http time to notice the end of the connection, is gone.

Servers that tell no birth can't be told apart: theirs are covered by the age alone.

--- a/pkg/fleet/commands.go
+++ b/pkg/fleet/commands.go
@@ -160,22 +160,26 @@
 	return err
 }
 
-// Leave records a server's departure and acknowledges it as Announce does. A caller that has left is refused, since the server may
-// have told its departure elsewhere and started again since.
+// Leave records a server's departure and acknowledges it as Announce does. It returns ErrUnavailable as well if nobody waits for the answer any more: the
+// server may have told its departure elsewhere and started again since.
 func (c *Control) Leave(ctx context.Context, id string) error {
 	if err := c.checkServer(&directory.Server{ID: id, State: directory.Gone}); err != nil {
 		return err
 	}
-	limited, cancel := context.WithTimeout(ctx, requestTimeout)
-	defer cancel()
-	_, unconfirmed := c.currentNumber(limited)
-	if ctx.Err() != nil {
-		c.opts.Log.Info("departure refused", "server", id, "reason", "the caller has left", "error", errorText(unconfirmed))
-		return fmt.Errorf("%w: the caller has left", ErrUnavailable)
+	known, _ := c.opts.State.Server(id)
+	if err := awaited(ctx); err != nil {
+		c.opts.Log.Info("departure refused", "server", id, "reason", err.Error())
+		return err
+	}
+	s, ok := c.opts.State.Leave(id, known.Born, time.Now())
+	if !ok {
+		c.opts.Log.Info("departure refused", "server", id, "reason", "it has started again since", "born_ms", known.Born, "born_since_ms", s.Born)
+		return fmt.Errorf("%w: server %q has started again since it left", ErrUnavailable, id)
 	}
-	s := c.opts.State.Leave(id, time.Now())
 	c.opts.Log.Info("server left", "server", id, "service", s.Service, "address", s.Address)
-	return c.recordDeparture(limited, s)
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	return c.recordDeparture(ctx, s)
 }
 
 // recordDeparture tells the other control VMs of a server's departure and returns once the control group has recorded it.
--- a/pkg/fleet/origins_test.go
+++ b/pkg/fleet/origins_test.go
@@ -98,7 +98,7 @@
 	left := versionServer("b", "left")
 	_, one := newOriginControl(t, longKnown(old))
 	s := longKnown(old, left)
-	s.Leave("b", time.Now())
+	s.Leave("b", 1, time.Now())
 	_, afterRelease := newOriginControl(t, s)
 	_, restarted := newOriginControl(t, NewState(StateOptions{}))
 	justStarted := func() *State { return NewState(StateOptions{}) }
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -235,17 +235,21 @@
 	return updated
 }
 
-// Leave marks a server as gone and returns its record.
-func (s *State) Leave(id string, now time.Time) directory.Server {
+// Leave marks the incarnation of a server that was born at a time in Unix milliseconds as gone, and returns its record; 0 if none was known. It returns
+// false and the record as it is if another incarnation has announced itself since.
+func (s *State) Leave(id string, born int64, now time.Time) (directory.Server, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if v, ok := s.dir.Get(id); ok && v.Born != born {
+		return v, false
+	}
 	v, c := s.dir.Leave(id, now)
 	if c == directory.Changed {
 		s.changes++
 		s.stamp(id, stampChanged, stampHeard)
 		s.notifyChange()
 	}
-	return v
+	return v, true
 }
 
 // Expire drops the servers that have been silent for too long and returns them.
--- a/pkg/fleet/takeover_test.go
+++ b/pkg/fleet/takeover_test.go
@@ -289,10 +289,11 @@
 	"configurations":  func(f *rolloutFleet, second int) { f.configure(second + 2) },
 	"evacuations":     func(f *rolloutFleet, second int) { f.evacuate(fmt.Sprint("d", second/2%3), second%2 == 0) },
 	"servers leave": func(f *rolloutFleet, second int) {
+		left := f.servers[min(second, 7)]
 		for _, c := range f.controls {
-			c.opts.State.Leave(f.servers[min(second, 7)].ID, f.now)
+			c.opts.State.Leave(left.ID, left.Born, f.now)
 		}
-		f.view.Leave(f.servers[min(second, 7)].ID, f.now)
+		f.view.Leave(left.ID, left.Born, f.now)
 	},
 }
 
--- a/pkg/fleet/weights_test.go
+++ b/pkg/fleet/weights_test.go
@@ -192,7 +192,7 @@
 	f.run(1, 3)
 	require.Len(t, f.w.readAt, 6)
 	for i := range 6 {
-		f.state.Leave(fmt.Sprint("e", i), f.now)
+		f.state.Leave(fmt.Sprint("e", i), 1, f.now)
 	}
 	f.now = f.now.Add(24 * time.Hour)
 	f.state.Expire(f.now)
