fleet: a roll-out order that is read late, or waits at a leader, starts no roll-out after a later one

A control VM that read an order for a roll-out after its caller had given it elsewhere, and after that roll-out and a later one had ended, started the version again that had been rolled back.

Cause: the same race as for failure domains, and no base: the replicated state knew an order that was sent again only while its roll-out was the service's latest.

Change: fleet.currentView gives orders for failure domains and roll-outs the state that was confirmed while their caller waited. An order bears the number and phase of the service's latest roll-out in it, and is overtaken where it is applied if that has changed.

--- a/pkg/fleet/commands.go
+++ b/pkg/fleet/commands.go
@@ -100,11 +100,12 @@
 
 // orderDomain is SetDomain without the log line. It returns when the control group had confirmed the state, or refused to.
 func (c *Control) orderDomain(ctx context.Context, domain string, out bool) (confirmed time.Time, err error) {
-	base, err := c.currentNumber(ctx)
+	view, err := c.currentView(ctx)
 	confirmed = time.Now()
 	if err != nil {
 		return confirmed, err
 	}
+	base := view.Revision.Number
 	cmd := &daisyhatchv1.DomainCommand{FailureDomain: domain, Out: out, BaseNumber: &base}
 	r, err := c.propose(ctx, &daisyhatchv1.Command{Body: &daisyhatchv1.Command_Domain{Domain: cmd}})
 	if err == nil && r.GetDomain().GetOvertaken() {
@@ -113,17 +114,17 @@
 	return confirmed, err
 }
 
-// currentNumber returns the number of the replicated state, confirmed by the control group after the call and while the caller waited. It returns
-// ErrUnavailable if the group can't confirm it or nobody waits for the answer any more.
-func (c *Control) currentNumber(ctx context.Context) (uint64, error) {
+// currentView returns the replicated state, confirmed by the control group after the call and while the caller waited. It returns ErrUnavailable if the
+// group can't confirm it or nobody waits for the answer any more.
+func (c *Control) currentView(ctx context.Context) (fsm.View, error) {
 	if err := awaited(ctx); err != nil {
-		return 0, err
+		return fsm.View{}, err
 	}
 	if err := c.opts.Node.ReadBarrier(ctx); err != nil {
-		return 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return fsm.View{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	view, _ := c.opts.Machine.View()
-	return view.Revision.Number, awaited(ctx)
+	return view, awaited(ctx)
 }
 
 // Announce records a server's announcement. One that says that the server is draining or gone is acknowledged only once the
--- a/pkg/fleet/rollouts.go
+++ b/pkg/fleet/rollouts.go
@@ -78,19 +78,23 @@
 	if err := rollout.CheckStart(s); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
-	// A caller that left while this VM stood still may have given the order elsewhere, and it may have ended since.
-	number, err := c.currentNumber(ctx)
+	view, err := c.currentView(ctx)
 	if err != nil {
 		return nil, err
 	}
 	set := c.opts.State.Catalog()
-	if set == nil || c.opts.State.Number() < number {
+	if set == nil || c.opts.State.Number() < view.Revision.Number {
 		return nil, fmt.Errorf("%w: the configuration in force isn't known here yet", ErrUnavailable)
 	}
 	if set.Services[s.GetService()] == nil {
 		return nil, fmt.Errorf("%w: no service %.128q", ErrInvalid, s.GetService())
 	}
-	r, err := c.proposeRollout(ctx, &daisyhatchv1.RolloutCommand{Action: &daisyhatchv1.RolloutCommand_Start{Start: s}})
+	r, err := c.proposeRollout(ctx, &daisyhatchv1.RolloutCommand{
+		Action: &daisyhatchv1.RolloutCommand_Start{Start: s}, Base: rollout.BaseOf(view.Rollouts, s.GetService()),
+	})
+	if err == nil && r.GetOutcome() == daisyhatchv1.RolloutOutcome_ROLLOUT_OUTCOME_OVERTAKEN {
+		err = fmt.Errorf("%w: another roll-out of service %q was recorded after the order came", ErrUnavailable, s.GetService())
+	}
 	if err == nil && r.GetOutcome() == daisyhatchv1.RolloutOutcome_ROLLOUT_OUTCOME_CONFLICT {
 		err = fmt.Errorf("%w: a roll-out of service %q to version %q", ErrConflict, s.GetService(), r.GetRollout().GetVersion())
 	}
--- a/pkg/fsm/twin_test.go
+++ b/pkg/fsm/twin_test.go
@@ -53,6 +53,9 @@
 		r.Action = &daisyhatchv1.RolloutCommand_Start{Start: &daisyhatchv1.RolloutStart{
 			Service: service, Version: name("v").Draw(t, "version"), DurationMs: rapid.Int64Range(900, 2000).Draw(t, "duration"),
 		}}
+		if rapid.Bool().Draw(t, "based") {
+			r.Base = &daisyhatchv1.RolloutBase{Number: number, Phase: daisyhatchv1.RolloutPhase(rapid.IntRange(0, 4).Draw(t, "base phase"))}
+		}
 	case 1:
 		r.Action = &daisyhatchv1.RolloutCommand_Decision{Decision: &daisyhatchv1.RolloutDecision{
 			Service: service, Number: number, Phase: daisyhatchv1.RolloutPhase(rapid.IntRange(0, 5).Draw(t, "phase")),
--- a/pkg/rollout/book.go
+++ b/pkg/rollout/book.go
@@ -75,7 +75,7 @@
 func (b *Book) Apply(c *daisyhatchv1.RolloutCommand, nowMs int64) (*daisyhatchv1.RolloutResult, error) {
 	switch a := c.GetAction().(type) {
 	case *daisyhatchv1.RolloutCommand_Start:
-		return b.start(a.Start, nowMs)
+		return b.start(a.Start, c.GetBase(), nowMs)
 	case *daisyhatchv1.RolloutCommand_Decision:
 		return b.decide(a.Decision, nowMs)
 	case *daisyhatchv1.RolloutCommand_Reservation:
@@ -97,7 +97,16 @@
 	return nil
 }
 
-func (b *Book) start(s *daisyhatchv1.RolloutStart, nowMs int64) (*daisyhatchv1.RolloutResult, error) {
+// BaseOf returns what an order for a service is based on, given the roll-outs that are known.
+func BaseOf(list []*daisyhatchv1.Rollout, service string) *daisyhatchv1.RolloutBase {
+	i, found := Find(list, service)
+	if !found {
+		return &daisyhatchv1.RolloutBase{}
+	}
+	return &daisyhatchv1.RolloutBase{Number: list[i].GetNumber(), Phase: list[i].GetPhase()}
+}
+
+func (b *Book) start(s *daisyhatchv1.RolloutStart, base *daisyhatchv1.RolloutBase, nowMs int64) (*daisyhatchv1.RolloutResult, error) {
 	if err := CheckStart(s); err != nil {
 		return nil, err
 	}
@@ -112,6 +121,16 @@
 			return result(daisyhatchv1.RolloutOutcome_ROLLOUT_OUTCOME_CONFLICT, old), nil
 		}
 	}
+	if base != nil && !proto.Equal(base, BaseOf(b.rollouts, s.GetService())) {
+		// Replicas of builds that don't know the base start a roll-out, and must number the next one alike.
+		b.number++
+		b.changes++
+		r := &daisyhatchv1.Rollout{}
+		if found {
+			r = b.rollouts[i]
+		}
+		return result(daisyhatchv1.RolloutOutcome_ROLLOUT_OUTCOME_OVERTAKEN, r), nil
+	}
 	if !found && !b.makeRoom() {
 		return nil, fmt.Errorf("%w: roll-outs of %d services are in progress", ErrCommand, maxServices)
 	}
