fleet: join requests and notices of stops that are read late count from their arrival

A control VM that read another VM's join request late could remove a voter that had lost its disk and joined again since, and one that read notices of stops late removed voters that had started again.

Cause: both counted from when the handler began.

Evidence: fleet.TestJoinRequestCountsFromItsArrival and fleet.TestNoticeOfAStopCountsFromItsArrival failed without the change in 2 of 2 plays each: a change that removes the voter, and 3 of 5 voters left.

After: 2 of 2 plays each hold.

--- a/pkg/fleet/joining.go
+++ b/pkg/fleet/joining.go
@@ -10,6 +10,7 @@
 
 	daisyhatchv1 "github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1"
 	"github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1/daisyhatchv1connect"
+	"github.com/daisyhatch/daisyhatch/pkg/arrival"
 )
 
 // requestJoin asks the other control VMs to add this VM to the group while it is no voter or hears from no leader.
@@ -52,13 +53,17 @@
 	return daisyhatchv1connect.NewFleetServiceClient(c.opts.HTTP, "http://"+address)
 }
 
-// Join implements FleetService.
+// Join implements FleetService. A request that was read late counts from its arrival: the VM may have lost its disk since, and joined as another
+// instance.
 func (c *Control) Join(
-	_ context.Context, req *connect.Request[daisyhatchv1.JoinRequest],
+	ctx context.Context, req *connect.Request[daisyhatchv1.JoinRequest],
 ) (*connect.Response[daisyhatchv1.JoinResponse], error) {
 	m, now := req.Msg, time.Now()
+	j := Joiner{VM: m.GetVm(), Address: m.GetAddress(), Instance: m.GetInstance(), RequestedAt: arrival.Of(ctx).Arrived()}
 	c.mu.Lock()
-	c.joiners[m.GetVm()] = Joiner{VM: m.GetVm(), Address: m.GetAddress(), Instance: m.GetInstance(), RequestedAt: now}
+	if !j.RequestedAt.Before(c.joiners[j.VM].RequestedAt) {
+		c.joiners[j.VM] = j
+	}
 	c.mu.Unlock()
 	c.opts.Roster.Add([]string{m.GetAddress()}, now)
 	return connect.NewResponse(&daisyhatchv1.JoinResponse{ControlAddresses: c.controlAddresses(now)}), nil
--- a/pkg/fleet/stopping.go
+++ b/pkg/fleet/stopping.go
@@ -9,6 +9,7 @@
 
 	daisyhatchv1 "github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1"
 	"github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1/daisyhatchv1connect"
+	"github.com/daisyhatch/daisyhatch/pkg/arrival"
 )
 
 const (
@@ -61,12 +62,12 @@
 	return told, leads.Load()
 }
 
-// NoticeStop implements FleetService.
+// NoticeStop implements FleetService. A notice that was read late counts from its arrival: the VM may have started again since.
 func (c *Control) NoticeStop(
 	ctx context.Context, req *connect.Request[daisyhatchv1.NoticeStopRequest],
 ) (*connect.Response[daisyhatchv1.NoticeStopResponse], error) {
 	c.mu.Lock()
-	c.stopping[req.Msg.GetVm()] = stopNotice{instance: req.Msg.GetInstance(), receivedAt: time.Now()}
+	c.stopping[req.Msg.GetVm()] = stopNotice{instance: req.Msg.GetInstance(), receivedAt: arrival.Of(ctx).Arrived()}
 	c.mu.Unlock()
 	// One stop may call for several removals.
 	removed, err := c.planMembership(ctx)
