control: orders of operators who gave up are refused as not taken

A control VM of the product's own interface that read an order to engines, or a change of the control group, after the operator's client had given up carried it out, and so replaced what the operator ordered elsewhere since.

Cause: nothing looked at the age. An order to engines that was given again under its id is known, but one of a client that gave up for good isn't; changes of the control group have no id. Publications are bound by their base and weren't changed.

Change: both ask arrival, with the time that the client gives with its call, and answer Unavailable with the outcome not-taken. A client that gives no time is refused only if it has closed its connection. Not bound by a base: a change of the control group that stands still between this check and the log.

--- a/pkg/control/operate.go
+++ b/pkg/control/operate.go
@@ -4,10 +4,12 @@
 	"context"
 	"crypto/sha256"
 	"errors"
+	"fmt"
 
 	"connectrpc.com/connect"
 
 	daisyhatchv1 "github.com/daisyhatch/daisyhatch/gen/daisyhatch/v1"
+	"github.com/daisyhatch/daisyhatch/pkg/arrival"
 	"github.com/daisyhatch/daisyhatch/pkg/config"
 	"github.com/daisyhatch/daisyhatch/pkg/publication"
 )
@@ -116,6 +118,9 @@
 	if req.Msg.GetOrder() == nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("control: no order"))
 	}
+	if err := awaited(ctx); err != nil {
+		return nil, err
+	}
 	o := req.Msg.GetOrder()
 	o.Operator = operator.Name
 	r, err := s.propose(ctx, &daisyhatchv1.Command{Body: &daisyhatchv1.Command_Order{Order: o}})
@@ -151,9 +156,22 @@
 	if (add == nil) == (remove == "") {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("control: set one of add and remove"))
 	}
+	if err := awaited(ctx); err != nil {
+		return nil, err
+	}
 	if err := s.o.Log.ChangeMembership(ctx, add, remove); err != nil {
 		return nil, logError(err)
 	}
 	s.o.Logr.Info("control group changed", "operator", operator.Name, "add", add.GetVm(), "remove", remove)
 	return connect.NewResponse(&daisyhatchv1.ChangeControlResponse{Membership: s.o.Log.Status().Membership}), nil
 }
+
+// awaited returns an error that says that nothing was changed if the caller of an order has left, or doesn't wait any more by the order's age and the
+// time that the caller gave. Such a caller may have given another order elsewhere since.
+func awaited(ctx context.Context) error {
+	r := arrival.Of(ctx)
+	if err := r.Evidence().Check(r.Patience(0)); err != nil {
+		return outcomeError(connect.CodeUnavailable, OutcomeNotTaken, fmt.Errorf("control: nobody waits for this order any more: %w", err))
+	}
+	return nil
+}
