--- a/pkg/arrival/arrival_test.go
+++ b/pkg/arrival/arrival_test.go
@@ -45,7 +45,7 @@
 		e.SinceData = h.now - max(h.arrived, h.after)
 	}
 	if h.resumed-h.stopped >= shortestStandstill {
-		e.Standstill, e.ResumedBefore = h.now-h.stopped, h.read-h.resumed
+		e.SinceStop, e.ResumedBefore = h.now-h.stopped, h.read-h.resumed
 	}
 	return e
 }
--- a/pkg/arrival/evidence.go
+++ b/pkg/arrival/evidence.go
@@ -30,10 +30,9 @@
 	SinceData time.Duration
 	// Exact is true if SinceData is the request's age: the system tells it, and no other data follows a request before its answer.
 	Exact bool
-	// Standstill is the time since the process last stopped for a while, if it went on ResumedBefore the request was read; 0 if it
-	// hasn't stopped.
-	Standstill    time.Duration
-	ResumedBefore time.Duration
+	// SinceStop is the time since the latest standstill of the process began, and ResumedBefore how long before the request was read it
+	// ended; 0 if there was none.
+	SinceStop, ResumedBefore time.Duration
 	// Closed is true if the caller has closed its connection.
 	Closed bool
 }
@@ -41,8 +40,8 @@
 // Age returns the longest time for which the request may have been with this VM.
 func (e Evidence) Age() time.Duration {
 	age := max(e.SinceRead, e.SinceData)
-	if !e.Exact && e.Standstill > 0 && e.ResumedBefore <= catchUpTime {
-		age = max(age, e.Standstill)
+	if !e.Exact && e.SinceStop > 0 && e.ResumedBefore <= catchUpTime {
+		age = max(age, e.SinceStop)
 	}
 	return age
 }
--- a/pkg/arrival/tracker.go
+++ b/pkg/arrival/tracker.go
@@ -146,7 +146,7 @@
 	now := time.Now()
 	e.SinceRead = now.Sub(r.read)
 	if !r.stopped.IsZero() {
-		e.Standstill, e.ResumedBefore = now.Sub(r.stopped), r.read.Sub(r.resumed)
+		e.SinceStop, e.ResumedBefore = now.Sub(r.stopped), r.read.Sub(r.resumed)
 	}
 	return e
 }
--- a/pkg/fleet/stopping_test.go
+++ b/pkg/fleet/stopping_test.go
@@ -34,6 +34,13 @@
 
 // newStopGroup starts a group led by its first VM. send makes the calls of a VM's FleetService.
 func newStopGroup(t *testing.T, n int, send func(vm int, r *http.Request) (*http.Response, error)) *stopGroup {
+	return newStopGroupOver(t, n, send, nil)
+}
+
+// newStopGroupOver is newStopGroup with the client of the nodes; nil takes their own.
+func newStopGroupOver(
+	t *testing.T, n int, send func(vm int, r *http.Request) (*http.Response, error), consensus *http.Client,
+) *stopGroup {
 	g := &stopGroup{t: t}
 	var listeners []net.Listener
 	var peers []*daisyhatchv1.ConsensusPeer
@@ -48,6 +55,7 @@
 		machine := fsm.New()
 		node, err := replica.NewNode(replica.Options{
 			VM: p.Vm, Address: p.Address, DataDir: t.TempDir(), Bootstrap: peers, StateMachine: machine, Log: logr.Discard(), Invariants: rec,
+			Client: consensus,
 		})
 		require.NoError(t, err)
 		roster := NewRoster(p.Address, nil)
